--- /dev/null
+++ b/load/src/main.rs
@@ -0,0 +1,2 @@
+//! Load.
+fn main() {}
--- /dev/null
+++ b/src/bin/persimmon-keeper.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- /dev/null
+++ b/src/decide/mod.rs
@@ -0,0 +1,4 @@
+//! Pure decisions: typed events and the time go in, actions come out. Nothing here has a socket, a
+//! clock or a random source, so that tests and the load program can drive it.
+
+pub mod ownership;
--- /dev/null
+++ b/src/decide/ownership.rs
@@ -0,0 +1,38 @@
+//! Decides which VM's pool owns an upstream.
+
+use xxhash_rust::xxh3;
+
+use crate::model::{upstream_spec, vm_record};
+
+/// Returns the VMs that may own `upstream`, best first: the live VMs of the upstream's data centre
+/// in rendezvous order, then all others in rendezvous order. VMs that are leaving are left out.
+///
+/// All processes compute the same order from the same members, so ownership needs no messages. A
+/// change of members moves only the upstreams of the VM concerned.
+#[must_use]
+pub fn rank_owners<'a>(
+    upstream: &upstream_spec::UpstreamSpec,
+    vms: &'a [vm_record::VmRecord],
+) -> Vec<&'a vm_record::VmRecord> {
+    let mut ranked: Vec<_> = vms
+        .iter()
+        .filter(|vm| !vm.leaving)
+        .map(|vm| {
+            let remote = vm.data_centre != upstream.data_centre;
+            (
+                remote,
+                std::cmp::Reverse(score(&upstream.upstream, &vm.vm)),
+                vm,
+            )
+        })
+        .collect();
+    ranked
+        .sort_by(|left, right| (left.0, left.1, &left.2.vm).cmp(&(right.0, right.1, &right.2.vm)));
+    ranked.into_iter().map(|(_, _, vm)| vm).collect()
+}
+
+/// Returns the rendezvous score of `candidate` for `key`; the highest score wins.
+#[must_use]
+pub fn score(key: &str, candidate: &str) -> u64 {
+    xxh3::xxh3_64_with_seed(candidate.as_bytes(), xxh3::xxh3_64(key.as_bytes()))
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,16 @@
+//! persimmontack is a PostgreSQL proxy that keeps sessions consistent while databases change, lag
+//! and fail.
+//!
+//! The library holds everything the four programs share. Start with `docs/design.md` for the
+//! processes, their messages and the state each of them owns.
+
+pub mod counters;
+pub mod decide;
+pub mod event;
+pub mod exit_code;
+pub mod health;
+pub mod link;
+pub mod model;
+pub mod platform;
+pub mod rules;
+pub mod shutdown;
--- /dev/null
+++ b/src/link/feed_update.rs
@@ -0,0 +1,27 @@
+//! [`FeedUpdate`]: upstream states that a pool pushes to entries.
+
+use std::time;
+
+use serde::{Deserialize, Serialize};
+
+use crate::model::upstream_state;
+
+/// What a pool knows about one upstream that it owns.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UpstreamReport {
+    /// Last state that the upstream reported.
+    pub state: upstream_state::UpstreamState,
+    /// False while the control connection to the upstream is down.
+    pub reachable: bool,
+    /// Estimated wait for a slot.
+    pub wait: time::Duration,
+}
+
+/// Changes since the last update on the same stream; the first holds everything.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FeedUpdate {
+    /// Changed upstreams.
+    pub reports: Vec<UpstreamReport>,
+    /// True once the pool takes no new units of work.
+    pub leaving: bool,
+}
--- /dev/null
+++ b/src/link/stream_kind.rs
@@ -0,0 +1,48 @@
+//! [`StreamKind`]: what a stream on a link carries.
+
+/// What a stream carries. `docs/design.md`, "Messages between processes", lists the frames of each.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum StreamKind {
+    /// One unit of work: a statement or a whole transaction. Entry to pool.
+    Work,
+    /// Upstream states, pushed as they change. Pool to entry.
+    Feed,
+    /// Upstream states, read after the request arrived. Entry to pool.
+    Observe,
+    /// Control tables, pushed as they change. Keeper to the programs on its VM.
+    Tables,
+    /// Membership and rules. Keeper to keeper.
+    Gossip,
+    /// Operators' requests. `persimmonctl` to a keeper or an entry.
+    Control,
+}
+
+impl StreamKind {
+    /// Returns the request path that names this kind.
+    #[must_use]
+    pub const fn path(self) -> &'static str {
+        match self {
+            Self::Work => "/work",
+            Self::Feed => "/feed",
+            Self::Observe => "/observe",
+            Self::Tables => "/tables",
+            Self::Gossip => "/gossip",
+            Self::Control => "/control",
+        }
+    }
+
+    /// Returns the kind that a request path names.
+    #[must_use]
+    pub fn from_path(path: &str) -> Option<Self> {
+        [
+            Self::Work,
+            Self::Feed,
+            Self::Observe,
+            Self::Tables,
+            Self::Gossip,
+            Self::Control,
+        ]
+        .into_iter()
+        .find(|kind| kind.path() == path)
+    }
+}
--- /dev/null
+++ b/src/link/work_request.rs
@@ -0,0 +1,35 @@
+//! [`WorkRequest`]: opens a unit of work on a pool.
+
+use serde::{Deserialize, Serialize};
+
+use crate::model::{ids, log_position};
+
+/// Whether a unit of work may change data.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize, derive_more::Display)]
+#[display(rename_all = "snake_case")]
+pub enum WorkAccess {
+    /// Proved to be a read.
+    Read,
+    /// Everything else.
+    Write,
+}
+
+/// Opens a unit of work: one batch of statements, or a transaction of several batches. The unit
+/// ends, and its connection goes back to the pool, when a batch leaves the connection idle.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WorkRequest {
+    /// Matches log lines of entry and pool.
+    pub request: ids::RequestId,
+    /// Upstream on which to run.
+    pub upstream: ids::UpstreamId,
+    /// Database that the caller named.
+    pub database: ids::DatabaseName,
+    /// Customer of the caller's login, by which the queue is shared.
+    pub customer: ids::CustomerId,
+    /// Whether the work may change data.
+    pub access: WorkAccess,
+    /// For reads: position that the upstream must have applied.
+    pub min_applied: Option<log_position::LogPosition>,
+    /// For writes: term in which the upstream must be the primary.
+    pub term: Option<ids::TermNumber>,
+}
--- /dev/null
+++ b/src/model/group_spec.rs
@@ -0,0 +1,16 @@
+//! [`GroupSpec`]: a replication group as the platform lists it.
+
+use serde::{Deserialize, Serialize};
+
+use crate::model::{ids, upstream_spec};
+
+/// A replication group: its databases and the upstreams that hold copies of them.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GroupSpec {
+    /// Name of the group.
+    pub group: ids::GroupId,
+    /// Databases that callers reach in this group.
+    pub databases: Vec<ids::DatabaseName>,
+    /// Members of the group; three today.
+    pub upstreams: Vec<upstream_spec::UpstreamSpec>,
+}
--- /dev/null
+++ b/src/model/mod.rs
@@ -0,0 +1,12 @@
+//! Values that all programs share: ids, positions, states and reasons.
+
+pub mod control_tables;
+pub mod group_spec;
+pub mod ids;
+pub mod log_position;
+pub mod refusal_reason;
+pub mod retry_reason;
+pub mod sql_state;
+pub mod upstream_spec;
+pub mod upstream_state;
+pub mod vm_record;
--- /dev/null
+++ b/src/model/retry_reason.rs
@@ -0,0 +1,32 @@
+//! [`RetryReason`]: why a request was sent again.
+
+use serde::{Deserialize, Serialize};
+
+/// Why a request was sent a second time. Each reason has its own counter. A request is retried
+/// only if it is known not to have run or is a read outside a transaction.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    Hash,
+    PartialOrd,
+    Ord,
+    Serialize,
+    Deserialize,
+    derive_more::Display,
+)]
+#[display(rename_all = "snake_case")]
+pub enum RetryReason {
+    /// The pool refused the request before sending it.
+    Refused,
+    /// The pool could not be reached.
+    PoolUnreachable,
+    /// The link to the pool broke while a read ran.
+    LinkBroken,
+    /// The upstream's connection broke while a read ran.
+    UpstreamBroken,
+    /// The upstream rejected a write because it is not the primary.
+    ReadOnlyUpstream,
+}
--- /dev/null
+++ b/standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins.
--- /dev/null
+++ b/tests/testenv/src/lib.rs
@@ -0,0 +1,1 @@
+//! Test environment.
