Let every outgoing connection leave from the VM's own address

A fault-injecting link in front of a listener has to know from which data centre a connection comes; with one loopback address per VM the source address tells it.

--- a/src/health.rs
+++ b/src/health.rs
@@ -6,7 +6,6 @@
 use std::sync::atomic;
 
 use axum::extract;
-use axum::http;
 use axum::routing;
 use metrics_exporter_prometheus as prometheus;
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod counters;
 pub mod decide;
+pub mod dial;
 pub mod event;
 pub mod exit_code;
 pub mod health;
--- a/src/link/client.rs
+++ b/src/link/client.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic;
 use std::time;
 
+use crate::dial;
 use crate::link::frame_reader;
 use crate::link::frame_writer;
 use crate::link::hello;
@@ -37,37 +38,23 @@
 }
 
 impl PeerClient {
-    /// Connects to `address` and exchanges versions, all within `timeout`.
+    /// Connects to `address` and exchanges versions, each within the dialer's timeout.
     ///
     /// # Errors
     ///
     /// Fails if the peer cannot be reached in time or speaks another version.
     pub async fn connect(
-        address: net::SocketAddr,
-        hello: &hello::Hello,
-        timeout: time::Duration,
-    ) -> Result<Self, link_error::LinkError> {
-        let peer = address.to_string();
-        tokio::time::timeout(timeout, Self::connect_unbounded(address, hello))
-            .await
-            .map_err(|_elapsed| {
-                link_error::LinkError::new(link_error::LinkStep::Connect, &peer, "timed out")
-            })?
-    }
-
-    async fn connect_unbounded(
+        dialer: &dial::TcpDialer,
         address: net::SocketAddr,
         hello: &hello::Hello,
     ) -> Result<Self, link_error::LinkError> {
         let peer: sync::Arc<str> = address.to_string().into();
         let connect_error =
             |error: String| link_error::LinkError::new(link_error::LinkStep::Connect, &peer, error);
-        let socket = tokio::net::TcpStream::connect(address)
+        let socket = dialer
+            .connect(address)
             .await
             .map_err(|error| connect_error(error.to_string()))?;
-        socket
-            .set_nodelay(true)
-            .map_err(|error| connect_error(error.to_string()))?;
         let (sender, mut connection) = h2::client::Builder::new()
             .initial_window_size(STREAM_WINDOW_BYTES)
             .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
@@ -97,7 +84,11 @@
             greeting: sync::Arc::new(hello.clone()),
             peer: sync::Arc::clone(&peer),
         };
-        client.greet(hello).await?;
+        tokio::time::timeout(dialer.timeout, client.greet(hello))
+            .await
+            .map_err(|elapsed| {
+                link_error::LinkError::new(link_error::LinkStep::Hello, &peer, elapsed)
+            })??;
         Ok(client)
     }
 
--- a/src/link/server.rs
+++ b/src/link/server.rs
@@ -156,7 +156,8 @@
     received: &hello::Hello,
 ) -> Result<(), link_error::LinkError> {
     let text = format!(
-        "this process speaks link version {hello::PROTOCOL_VERSION}, the peer speaks version {}",
+        "this process speaks link version {}, the peer speaks version {}",
+        hello::PROTOCOL_VERSION,
         received.protocol_version
     );
     event::warn("link_version_refused", &[("peer", &peer), ("cause", &text)]);
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -8,6 +8,7 @@
 use hyper_util::rt;
 use serde::{Serialize, de};
 
+use crate::dial;
 use crate::model::{group_spec, vm_record};
 use crate::platform::kv_entry;
 use crate::platform::platform_error;
@@ -32,11 +33,16 @@
 }
 
 impl PlatformClient {
-    /// Creates a client for the platform at `address`; `vm` names the caller and `timeout` bounds
-    /// each call.
+    /// Creates a client for the platform at `address`; `vm` names the caller, and the dialer's
+    /// timeout bounds each call.
     #[must_use]
-    pub fn new(address: net::SocketAddr, vm: &str, timeout: time::Duration) -> Self {
-        let http = legacy::Client::builder(rt::TokioExecutor::new()).build_http();
+    pub fn new(address: net::SocketAddr, vm: &str, dialer: dial::TcpDialer) -> Self {
+        let mut connector = legacy::connect::HttpConnector::new();
+        connector.set_local_address(dialer.source);
+        connector.set_connect_timeout(Some(dialer.timeout));
+        connector.set_nodelay(true);
+        let http = legacy::Client::builder(rt::TokioExecutor::new()).build(connector);
+        let timeout = dialer.timeout;
         Self {
             address,
             vm: vm.to_owned(),
