--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -1,4 +1,8 @@
 //! Pure decisions: typed events and the time go in, actions come out. Nothing here has a socket, a
 //! clock or a random source, so that tests and the load program can drive it.
 
+pub mod barrier;
+pub mod confirm;
 pub mod ownership;
+pub mod retry_budget;
+pub mod routing;
--- /dev/null
+++ b/src/decide/routing.rs
@@ -0,0 +1,117 @@
+//! Chooses the upstream for a unit of work.
+
+use std::time;
+
+use crate::model::{ids, log_position, upstream_spec, upstream_state};
+
+/// One upstream as the feeds describe it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UpstreamView {
+    /// What the platform says.
+    pub spec: upstream_spec::UpstreamSpec,
+    /// Latest state in any feed.
+    pub state: Option<upstream_state::UpstreamState>,
+    /// Whether a pool that can be reached has a connection to it.
+    pub reachable: bool,
+    /// Whether it takes no new work.
+    pub leaving: bool,
+    /// Estimated wait for a slot.
+    pub wait: time::Duration,
+}
+
+/// Why a unit of work goes where it goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, derive_more::Display)]
+#[display(rename_all = "snake_case")]
+pub enum RouteReason {
+    /// A replica in the entry's data centre is fresh enough.
+    LocalReplica,
+    /// A replica in another data centre is fresh enough.
+    RemoteReplica,
+    /// No replica is fresh enough in time.
+    PrimaryFallback,
+    /// It may change data.
+    PrimaryWrite,
+}
+
+/// A chosen upstream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RouteChoice {
+    /// The upstream.
+    pub upstream: ids::UpstreamId,
+    /// Term in which it is the primary, if it was chosen as such.
+    pub term: Option<ids::TermNumber>,
+    /// Why.
+    pub reason: RouteReason,
+}
+
+/// Returns the primary of the highest term with that term. A primary of a lower term never counts,
+/// even if that of the highest cannot be reached: it has been replaced.
+#[must_use]
+pub fn find_primary(views: &[UpstreamView]) -> Option<(&UpstreamView, ids::TermNumber)> {
+    views
+        .iter()
+        .filter_map(|view| Some((view, view.state.as_ref()?.primary_term?)))
+        .max_by_key(|(_, term)| *term)
+        .filter(|(view, _)| view.reachable)
+}
+
+/// Chooses the upstream for a write.
+#[must_use]
+pub fn route_write(views: &[UpstreamView]) -> Option<RouteChoice> {
+    let (view, term) = find_primary(views)?;
+    (!view.leaving).then(|| RouteChoice {
+        upstream: view.spec.upstream.clone(),
+        term: Some(term),
+        reason: RouteReason::PrimaryWrite,
+    })
+}
+
+/// Chooses a replica that has applied `floor`, or returns `None` if there is none now. `avoid` names
+/// upstreams that refused this unit.
+#[must_use]
+pub fn route_read(
+    views: &[UpstreamView],
+    floor: log_position::LogPosition,
+    data_centre: &str,
+    avoid: &[ids::UpstreamId],
+) -> Option<RouteChoice> {
+    views
+        .iter()
+        .filter(|view| view.reachable && !view.leaving)
+        .filter(|view| !avoid.contains(&view.spec.upstream))
+        .filter(|view| {
+            view.state
+                .as_ref()
+                .is_some_and(|state| state.primary_term.is_none() && state.applied >= floor)
+        })
+        .map(|view| (view.spec.data_centre != data_centre, view.wait, view))
+        .min_by(|left, right| {
+            (left.0, left.1, &left.2.spec.upstream).cmp(&(right.0, right.1, &right.2.spec.upstream))
+        })
+        .map(|(remote, _, view)| RouteChoice {
+            upstream: view.spec.upstream.clone(),
+            term: None,
+            reason: if remote {
+                RouteReason::RemoteReplica
+            } else {
+                RouteReason::LocalReplica
+            },
+        })
+}
+
+/// Chooses the primary for a read that no replica can serve in time.
+#[must_use]
+pub fn route_fallback(
+    views: &[UpstreamView],
+    floor: log_position::LogPosition,
+    avoid: &[ids::UpstreamId],
+) -> Option<RouteChoice> {
+    let (view, _) = find_primary(views)?;
+    let state = view.state.as_ref()?;
+    let usable = !view.leaving && state.applied >= floor && !avoid.contains(&view.spec.upstream);
+    usable.then(|| RouteChoice {
+        upstream: view.spec.upstream.clone(),
+        term: None,
+        reason: RouteReason::PrimaryFallback,
+    })
+}
--- /dev/null
+++ b/src/entry/mod.rs
@@ -0,0 +1,1 @@
+//! The entry: accepts callers and routes their statements.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod counters;
 pub mod decide;
 pub mod dial;
+pub mod entry;
 pub mod event;
 pub mod exit_code;
 pub mod health;
@@ -15,3 +16,4 @@
 pub mod platform;
 pub mod rules;
 pub mod shutdown;
+pub mod sql;
--- /dev/null
+++ b/src/sql/classify.rs
@@ -0,0 +1,530 @@
+//! Classifies a statement's text. Whatever is not proved to be a read counts as a write.
+
+use std::collections;
+use std::ops;
+
+use sqlparser::ast;
+use sqlparser::dialect;
+use sqlparser::parser;
+use sqlparser::tokenizer;
+use xxhash_rust::xxh3;
+
+use crate::link::work_request;
+use crate::model::ids;
+use crate::sql::{parameters, statement_class};
+
+/// Functions that change no data and keep no session state.
+const READ_FUNCTIONS: [&str; 68] = [
+    "abs",
+    "array_agg",
+    "array_length",
+    "avg",
+    "bool_and",
+    "bool_or",
+    "btrim",
+    "ceil",
+    "ceiling",
+    "char_length",
+    "chr",
+    "coalesce",
+    "concat",
+    "concat_ws",
+    "count",
+    "current_database",
+    "current_schema",
+    "date_part",
+    "date_trunc",
+    "dense_rank",
+    "extract",
+    "first_value",
+    "floor",
+    "format",
+    "generate_series",
+    "greatest",
+    "initcap",
+    "json_agg",
+    "json_build_object",
+    "jsonb_agg",
+    "jsonb_build_object",
+    "lag",
+    "last_value",
+    "lead",
+    "least",
+    "left",
+    "length",
+    "lower",
+    "lpad",
+    "ltrim",
+    "max",
+    "md5",
+    "min",
+    "mod",
+    "now",
+    "nullif",
+    "octet_length",
+    "pg_sleep",
+    "position",
+    "power",
+    "random",
+    "rank",
+    "regexp_replace",
+    "repeat",
+    "replace",
+    "reverse",
+    "right",
+    "round",
+    "row_number",
+    "rpad",
+    "rtrim",
+    "split_part",
+    "sqrt",
+    "string_agg",
+    "substr",
+    "substring",
+    "sum",
+    "upper",
+];
+/// Functions that return a fixed value of the session or the time.
+const VALUE_FUNCTIONS: [&str; 10] = [
+    "current_date",
+    "current_time",
+    "current_timestamp",
+    "current_user",
+    "localtime",
+    "localtimestamp",
+    "session_user",
+    "trunc",
+    "unnest",
+    "version",
+];
+/// Longest text that is parsed. The parser's time and depth grow with the text, so a longer one
+/// counts as a write without being read.
+const MAX_PARSED_BYTES: usize = 256 * 1024;
+
+const ADVISORY: &str = "session advisory locks";
+
+/// Classifies a text of one or more statements.
+#[must_use]
+pub fn classify(sql: &str) -> statement_class::StatementClass {
+    let dialect = dialect::PostgreSqlDialect {};
+    let tokens = (sql.len() <= MAX_PARSED_BYTES)
+        .then(|| tokenizer::Tokenizer::new(&dialect, sql).tokenize().ok())
+        .flatten();
+    let Some(tokens) = tokens else {
+        return opaque(sql, sql_hash(sql));
+    };
+    let fingerprint = hash_tokens(&tokens);
+    if let Some(feature) = find_refused_words(&tokens) {
+        return single(refused(feature), fingerprint);
+    }
+    let statements = parser::Parser::new(&dialect)
+        .with_tokens(tokens)
+        .parse_statements();
+    match statements {
+        Ok(statements) if statements.is_empty() => {
+            single(read(statement_class::StatementKind::Empty), fingerprint)
+        }
+        Ok(statements) => statement_class::StatementClass {
+            parts: statements.iter().map(classify_statement).collect(),
+            tables: collect_tables(&statements),
+            fingerprint,
+        },
+        Err(_not_understood) => opaque(sql, fingerprint),
+    }
+}
+
+/// Returns the class of a text that the parser does not understand. The text may hold several
+/// statements, and any of them may commit.
+fn opaque(sql: &str, fingerprint: ids::FingerprintId) -> statement_class::StatementClass {
+    let word = sql
+        .trim_start()
+        .split(|c: char| !c.is_ascii_alphabetic())
+        .next()
+        .unwrap_or_default()
+        .to_ascii_lowercase();
+    let part = match word.as_str() {
+        "set" | "reset" => statement_class::StatementPart {
+            may_commit: true,
+            ..write(statement_class::StatementKind::TransactionOnly(
+                "SET of this parameter outside a transaction",
+            ))
+        },
+        "listen" | "unlisten" => refused("LISTEN"),
+        "prepare" => refused("PREPARE"),
+        "execute" => refused("EXECUTE"),
+        "deallocate" => refused("DEALLOCATE"),
+        "copy" => refused("this form of COPY"),
+        _ => statement_class::StatementPart {
+            may_commit: true,
+            ..write(statement_class::StatementKind::Forward)
+        },
+    };
+    single(part, fingerprint)
+}
+
+fn single(
+    part: statement_class::StatementPart,
+    fingerprint: ids::FingerprintId,
+) -> statement_class::StatementClass {
+    statement_class::StatementClass {
+        parts: vec![part],
+        tables: Vec::new(),
+        fingerprint,
+    }
+}
+
+const fn read(kind: statement_class::StatementKind) -> statement_class::StatementPart {
+    statement_class::StatementPart {
+        kind,
+        access: work_request::WorkAccess::Read,
+        may_commit: false,
+    }
+}
+
+const fn write(kind: statement_class::StatementKind) -> statement_class::StatementPart {
+    statement_class::StatementPart {
+        kind,
+        access: work_request::WorkAccess::Write,
+        may_commit: false,
+    }
+}
+
+const fn refused(feature: &'static str) -> statement_class::StatementPart {
+    write(statement_class::StatementKind::Refused(feature))
+}
+
+/// Finds session state in texts that the parser may not understand.
+fn find_refused_words(tokens: &[tokenizer::Token]) -> Option<&'static str> {
+    let words: Vec<String> = tokens
+        .iter()
+        .filter_map(|token| match token {
+            tokenizer::Token::Word(word) => Some(word.value.to_ascii_lowercase()),
+            _ => None,
+        })
+        .collect();
+    let has = |wanted: &str| words.iter().any(|word| word == wanted);
+    let advisory = |word: &String| {
+        (word.starts_with("pg_advisory_") || word.starts_with("pg_try_advisory_"))
+            && !word.contains("_xact_")
+    };
+    if words.iter().any(advisory) {
+        return Some(ADVISORY);
+    }
+    if has("set_config") {
+        return Some("set_config");
+    }
+    let adjacent = |left: &str, right: &str| {
+        words
+            .windows(2)
+            .any(|pair| matches!(pair, [a, b] if a == left && b == right))
+    };
+    if adjacent("with", "hold") {
+        return Some("WITH HOLD cursors");
+    }
+    let temporary = ["temp", "temporary"].iter().any(|word| {
+        ["create", "local", "global", "replace", "into"]
+            .iter()
+            .any(|before| adjacent(before, word))
+    });
+    (temporary || has("pg_temp")).then_some("temporary objects")
+}
+
+fn classify_statement(statement: &ast::Statement) -> statement_class::StatementPart {
+    use statement_class::StatementKind as Kind;
+    match statement {
+        ast::Statement::Query(query) if is_read_query(query) && calls_only_reads(statement) => {
+            read(Kind::Forward)
+        }
+        ast::Statement::Copy {
+            source,
+            to: true,
+            target: ast::CopyTarget::Stdout,
+            ..
+        } => {
+            let reads = match source {
+                ast::CopySource::Table { .. } => true,
+                ast::CopySource::Query(query) => {
+                    is_read_query(query) && calls_only_reads(statement)
+                }
+            };
+            if reads {
+                read(Kind::Forward)
+            } else {
+                write(Kind::Forward)
+            }
+        }
+        ast::Statement::Copy { .. } => refused("COPY other than TO STDOUT"),
+        ast::Statement::Explain {
+            statement: explained,
+            analyze,
+            options,
+            ..
+        } => {
+            let inner = classify_statement(explained);
+            if (*analyze || options.is_some()) && inner.access == work_request::WorkAccess::Write {
+                write(Kind::Forward)
+            } else {
+                read(Kind::Forward)
+            }
+        }
+        ast::Statement::StartTransaction {
+            modes, statements, ..
+        } if statements.is_empty() => {
+            let read_only = modes.contains(&ast::TransactionMode::AccessMode(
+                ast::TransactionAccessMode::ReadOnly,
+            ));
+            if read_only {
+                read(Kind::Begin)
+            } else {
+                write(Kind::Begin)
+            }
+        }
+        ast::Statement::Commit { chain: true, .. }
+        | ast::Statement::Rollback { chain: true, .. } => refused("AND CHAIN"),
+        ast::Statement::Rollback {
+            savepoint: Some(_), ..
+        }
+        | ast::Statement::Savepoint { .. }
+        | ast::Statement::ReleaseSavepoint { .. } => read(Kind::Forward),
+        ast::Statement::Commit { .. } | ast::Statement::Rollback { .. } => {
+            statement_class::StatementPart {
+                may_commit: true,
+                ..read(Kind::End)
+            }
+        }
+        ast::Statement::Set(set) => classify_set(set),
+        ast::Statement::ShowVariable { variable } => {
+            let name = join(variable.iter().map(|ident| ident.value.as_str()));
+            if parameters::is_kept(&name) {
+                read(Kind::Local(statement_class::LocalStatement::Show(name)))
+            } else {
+                read(Kind::Forward)
+            }
+        }
+        ast::Statement::Reset(reset) => match &reset.reset {
+            ast::Reset::ConfigurationParameter(name) => {
+                let name = object_text(name);
+                if parameters::is_kept(&name) {
+                    read(Kind::Local(statement_class::LocalStatement::Set(
+                        name, None,
+                    )))
+                } else {
+                    refused("RESET of this parameter")
+                }
+            }
+            _ => refused("RESET ALL"),
+        },
+        ast::Statement::Insert(_)
+        | ast::Statement::Update(_)
+        | ast::Statement::Delete(_)
+        | ast::Statement::Merge(_)
+        | ast::Statement::Query(_) => write(Kind::Forward),
+        ast::Statement::CreateTable(table) if table.temporary => refused("temporary tables"),
+        ast::Statement::LISTEN { .. } | ast::Statement::UNLISTEN { .. } => refused("LISTEN"),
+        ast::Statement::Prepare { .. } => refused("PREPARE"),
+        ast::Statement::Execute { .. } => refused("EXECUTE"),
+        ast::Statement::Deallocate { .. } => refused("DEALLOCATE"),
+        ast::Statement::Discard { .. } => refused("DISCARD"),
+        ast::Statement::Declare { .. }
+        | ast::Statement::Fetch { .. }
+        | ast::Statement::Close { .. } => {
+            write(Kind::TransactionOnly("cursors outside a transaction"))
+        }
+        _ => statement_class::StatementPart {
+            may_commit: true,
+            ..write(Kind::Forward)
+        },
+    }
+}
+
+fn classify_set(set: &ast::Set) -> statement_class::StatementPart {
+    use statement_class::StatementKind as Kind;
+    match set {
+        ast::Set::SingleAssignment {
+            scope,
+            variable,
+            values,
+            ..
+        } => {
+            let name = object_text(variable);
+            let local = matches!(scope, Some(ast::ContextModifier::Local));
+            if parameters::is_kept(&name) && (!local || parameters::is_own(&name)) {
+                let value = values.iter().map(value_text).collect::<Vec<_>>().join(", ");
+                let value = (!value.eq_ignore_ascii_case("default")).then_some(value);
+                read(Kind::Local(statement_class::LocalStatement::Set(
+                    name, value,
+                )))
+            } else if local {
+                read(Kind::TransactionOnly("SET LOCAL outside a transaction"))
+            } else {
+                refused("SET of this parameter; SET LOCAL in a transaction is allowed")
+            }
+        }
+        ast::Set::SetTimeZone {
+            local: false,
+            value,
+        } => read(Kind::Local(statement_class::LocalStatement::Set(
+            "timezone".to_owned(),
+            Some(value_text(value)),
+        ))),
+        ast::Set::SetNames { charset_name, .. } => {
+            read(Kind::Local(statement_class::LocalStatement::Set(
+                "client_encoding".to_owned(),
+                Some(charset_name.value.clone()),
+            )))
+        }
+        ast::Set::SetTransaction { session: false, .. } => read(Kind::TransactionOnly(
+            "SET TRANSACTION outside a transaction",
+        )),
+        _ => refused("this form of SET"),
+    }
+}
+
+fn value_text(value: &ast::Expr) -> String {
+    match value {
+        ast::Expr::Value(value) => value
+            .value
+            .clone()
+            .into_string()
+            .unwrap_or_else(|| value.to_string()),
+        ast::Expr::Identifier(ident) => ident.value.clone(),
+        other => other.to_string(),
+    }
+}
+
+fn object_text(name: &ast::ObjectName) -> String {
+    join(
+        name.0
+            .iter()
+            .filter_map(|part| part.as_ident().map(|ident| ident.value.as_str())),
+    )
+}
+
+fn join<'a>(parts: impl Iterator<Item = &'a str>) -> String {
+    parts.collect::<Vec<_>>().join(".").to_ascii_lowercase()
+}
+
+fn is_read_query(query: &ast::Query) -> bool {
+    // Sub-queries anywhere inside are reached by the visitor, and each of them has to be a read.
+    let mut visitor = WriteFinder::default();
+    let _flow = ast::Visit::visit(query, &mut visitor);
+    !visitor.found
+}
+
+#[derive(Default)]
+struct WriteFinder {
+    found: bool,
+}
+
+impl ast::Visitor for WriteFinder {
+    type Break = ();
+
+    fn pre_visit_query(&mut self, query: &ast::Query) -> ops::ControlFlow<()> {
+        if !query.locks.is_empty() || query.for_clause.is_some() || !is_read_body(&query.body) {
+            self.found = true;
+            return ops::ControlFlow::Break(());
+        }
+        ops::ControlFlow::Continue(())
+    }
+}
+
+fn is_read_body(body: &ast::SetExpr) -> bool {
+    match body {
+        ast::SetExpr::Select(select) => select.into.is_none(),
+        // The visitor reaches a nested query by itself.
+        ast::SetExpr::Query(_) | ast::SetExpr::Values(_) | ast::SetExpr::Table(_) => true,
+        ast::SetExpr::SetOperation { left, right, .. } => is_read_body(left) && is_read_body(right),
+        _ => false,
+    }
+}
+
+/// Tells whether every function that the statement calls is known to be a read. An operator or a
+/// cast can run a function too, but the built-in ones change nothing.
+fn calls_only_reads(statement: &ast::Statement) -> bool {
+    let mut visitor = CallChecker { unknown: false };
+    let _flow = ast::Visit::visit(statement, &mut visitor);
+    !visitor.unknown
+}
+
+struct CallChecker {
+    unknown: bool,
+}
+
+impl CallChecker {
+    fn check(&mut self, name: &ast::ObjectName) -> ops::ControlFlow<()> {
+        let name = object_text(name);
+        let name = name.strip_prefix("pg_catalog.").unwrap_or(&name);
+        if READ_FUNCTIONS.contains(&name) || VALUE_FUNCTIONS.contains(&name) {
+            return ops::ControlFlow::Continue(());
+        }
+        self.unknown = true;
+        ops::ControlFlow::Break(())
+    }
+}
+
+impl ast::Visitor for CallChecker {
+    type Break = ();
+
+    fn pre_visit_expr(&mut self, expression: &ast::Expr) -> ops::ControlFlow<()> {
+        match expression {
+            ast::Expr::Function(function) => self.check(&function.name),
+            _ => ops::ControlFlow::Continue(()),
+        }
+    }
+
+    fn pre_visit_table_factor(&mut self, factor: &ast::TableFactor) -> ops::ControlFlow<()> {
+        match factor {
+            ast::TableFactor::Table {
+                name,
+                args: Some(_),
+                ..
+            }
+            | ast::TableFactor::Function { name, .. } => self.check(name),
+            ast::TableFactor::Table { .. }
+            | ast::TableFactor::Derived { .. }
+            | ast::TableFactor::NestedJoin { .. }
+            | ast::TableFactor::UNNEST { .. }
+            | ast::TableFactor::TableFunction { .. } => ops::ControlFlow::Continue(()),
+            _ => {
+                self.unknown = true;
+                ops::ControlFlow::Break(())
+            }
+        }
+    }
+}
+
+fn collect_tables(statements: &[ast::Statement]) -> Vec<String> {
+    let mut tables = collections::BTreeSet::new();
+    for statement in statements {
+        let _flow = ast::visit_relations(statement, |name| {
+            let name = object_text(name);
+            tables.insert(name.rsplit('.').next().unwrap_or(&name).to_owned());
+            ops::ControlFlow::<()>::Continue(())
+        });
+    }
+    tables.into_iter().collect()
+}
+
+fn sql_hash(sql: &str) -> ids::FingerprintId {
+    xxh3::xxh3_64(sql.as_bytes())
+}
+
+/// Hashes the tokens without constants, comments and spaces.
+fn hash_tokens(tokens: &[tokenizer::Token]) -> ids::FingerprintId {
+    let mut hasher = xxh3::Xxh3::new();
+    for token in tokens {
+        match token {
+            tokenizer::Token::Whitespace(_) => {}
+            tokenizer::Token::Number(..)
+            | tokenizer::Token::SingleQuotedString(_)
+            | tokenizer::Token::EscapedStringLiteral(_)
+            | tokenizer::Token::DollarQuotedString(_) => hasher.update(b"?"),
+            tokenizer::Token::Word(word) => {
+                hasher.update(word.value.to_ascii_lowercase().as_bytes());
+            }
+            other => hasher.update(other.to_string().as_bytes()),
+        }
+        hasher.update(b" ");
+    }
+    hasher.digest()
+}
--- /dev/null
+++ b/src/sql/mod.rs
@@ -0,0 +1,6 @@
+//! What a statement does, as far as routing is concerned.
+
+pub mod class_cache;
+pub mod classify;
+pub mod parameters;
+pub mod statement_class;
