--- a/src/rules/mod.rs
+++ b/src/rules/mod.rs
@@ -1,5 +1,16 @@
-//! The operators' rules: one line a rule, each with a comment naming who asked for it.
+//! The operators' rules: one rule per line, each with a comment naming who asked for it.
 
+mod customer;
+mod drain;
+mod field_reader;
+mod file_parser;
+mod login;
+mod long;
+mod lookup;
+mod read;
 pub mod rule_error;
+mod rule_line;
 pub mod rule_set;
 pub mod scram_verifier;
+mod time_text;
+mod write;
--- /dev/null
+++ b/src/rules/read.rs
@@ -0,0 +1,36 @@
+//! Reads and writes `read` rules.
+
+use std::fmt;
+
+use crate::rules::field_reader;
+use crate::rules::rule_set;
+use crate::rules::time_text;
+
+impl rule_set::ReadRule {
+    pub(super) const KEYS: [&str; 1] = ["max-age"];
+
+    pub(super) fn read(
+        reader: &mut field_reader::FieldReader<'_>,
+        requester: String,
+    ) -> Option<Self> {
+        let target = reader.name_argument("the name of a table or a database");
+        let max_age = reader.required_time("max-age");
+        Some(Self {
+            target: target?,
+            max_age: max_age?,
+            requester,
+        })
+    }
+}
+
+impl fmt::Display for rule_set::ReadRule {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            formatter,
+            "read {} max-age={} # asked for by: {}",
+            self.target,
+            time_text::format(self.max_age),
+            self.requester
+        )
+    }
+}
--- a/src/rules/rule_set.rs
+++ b/src/rules/rule_set.rs
@@ -3,9 +3,14 @@
 use std::time;
 
 use crate::model::ids;
+use crate::rules::file_parser;
 use crate::rules::rule_error;
 use crate::rules::scram_verifier;
 
+/// Most slots of one upstream that all reserves together may keep. Upstreams have 3 slots, and
+/// customers without a reserve need one of them.
+pub const MAX_RESERVE_SLOTS: u32 = 2;
+
 /// Whether a customer has bought priority.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, derive_more::Display)]
 #[display(rename_all = "snake_case")]
@@ -45,10 +50,10 @@
     pub requester: String,
 }
 
-/// `long "PATTERN" [slots=N]`
+/// `long "PATTERN" [slots=N]`; a quote within the pattern is doubled.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct LongRule {
-    /// Pattern of the statement's text, without regard to case; `%` stands for any text.
+    /// Start of the statement's text, without regard to case; `%` stands for any text.
     pub pattern: String,
     /// Slots of an upstream that matching work may hold at once; 1 by default.
     pub slots: u32,
@@ -133,15 +138,7 @@
     ///
     /// Returns every error in the file, in the order of its lines.
     pub fn parse(text: &str) -> Result<Self, Vec<rule_error::RuleError>> {
-        // The parser lands with the rules module; until then only an empty file is valid.
-        match text.lines().position(|line| !line.trim().is_empty()) {
-            None => Ok(Self::default()),
-            Some(line) => Err(vec![rule_error::RuleError {
-                line: line + 1,
-                column: 1,
-                problem: "rules are not read yet".to_owned(),
-            }]),
-        }
+        file_parser::FileParser::default().parse(text)
     }
 
     /// Returns the login of a user.
--- a/src/rules/scram_verifier.rs
+++ b/src/rules/scram_verifier.rs
@@ -1,5 +1,23 @@
 //! [`ScramVerifier`]: what a login's password is checked against.
 
+use std::fmt;
+use std::str;
+
+use base64::Engine;
+use base64::engine::general_purpose;
+use hmac::Mac;
+use sha2::Digest;
+
+/// Mechanism that starts every verifier.
+const MECHANISM: &str = "SCRAM-SHA-256";
+/// Length of a SHA-256 hash in bytes.
+const KEY_BYTES: usize = 32;
+/// Rounds of the key derivation for new verifiers, as PostgreSQL uses by default.
+pub const DEFAULT_ITERATIONS: u32 = 4_096;
+/// Most rounds accepted. Clients compute the rounds at each login, and a larger number would keep
+/// them busy for seconds.
+const MAX_ITERATIONS: u32 = 1_000_000;
+
 /// A SCRAM-SHA-256 verifier in PostgreSQL's form. The password cannot be computed from it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ScramVerifier {
@@ -12,3 +30,77 @@
     /// Key with which the server proves itself.
     pub server_key: Vec<u8>,
 }
+
+/// Says that a text is not a verifier. It does not repeat the text, which may be a password.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display, derive_more::Error)]
+#[display(
+    "found a value that is not a verifier, expected SCRAM-SHA-256$ROUNDS:SALT$STORED:SERVER (persimmonctl verifier prints one)"
+)]
+pub struct VerifierError;
+
+impl ScramVerifier {
+    /// Computes the verifier of a password, as RFC 5802 defines it.
+    #[must_use]
+    pub fn derive(password: &str, salt: &[u8], iterations: u32) -> Self {
+        // Like PostgreSQL, a password that SASLprep refuses is used as it is.
+        let prepared = stringprep::saslprep(password).unwrap_or(password.into());
+        let mut salted = [0; KEY_BYTES];
+        pbkdf2::pbkdf2_hmac::<sha2::Sha256>(prepared.as_bytes(), salt, iterations, &mut salted);
+        let client_key = keyed_hash(&salted, b"Client Key");
+        Self {
+            iterations,
+            salt: salt.to_vec(),
+            stored_key: sha2::Sha256::digest(client_key).to_vec(),
+            server_key: keyed_hash(&salted, b"Server Key"),
+        }
+    }
+}
+
+impl fmt::Display for ScramVerifier {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let encode = |bytes: &[u8]| general_purpose::STANDARD.encode(bytes);
+        write!(
+            formatter,
+            "{MECHANISM}${}:{}${}:{}",
+            self.iterations,
+            encode(&self.salt),
+            encode(&self.stored_key),
+            encode(&self.server_key)
+        )
+    }
+}
+
+impl str::FromStr for ScramVerifier {
+    type Err = VerifierError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        parse(text).ok_or(VerifierError)
+    }
+}
+
+fn parse(text: &str) -> Option<ScramVerifier> {
+    let decode = |part: &str| general_purpose::STANDARD.decode(part).ok();
+    let rest = text.strip_prefix(MECHANISM)?.strip_prefix('$')?;
+    let (derivation, keys) = rest.split_once('$')?;
+    let (iterations, salt) = derivation.split_once(':')?;
+    let (stored_key, server_key) = keys.split_once(':')?;
+    let verifier = ScramVerifier {
+        iterations: iterations.parse().ok()?,
+        salt: decode(salt)?,
+        stored_key: decode(stored_key)?,
+        server_key: decode(server_key)?,
+    };
+    let valid = (1..=MAX_ITERATIONS).contains(&verifier.iterations)
+        && !iterations.starts_with('+')
+        && !verifier.salt.is_empty()
+        && verifier.stored_key.len() == KEY_BYTES
+        && verifier.server_key.len() == KEY_BYTES;
+    valid.then_some(verifier)
+}
+
+fn keyed_hash(key: &[u8; KEY_BYTES], text: &[u8]) -> Vec<u8> {
+    // HMAC takes keys of any length, so this never falls back.
+    hmac::Hmac::<sha2::Sha256>::new_from_slice(key)
+        .map(|mac| mac.chain_update(text).finalize().into_bytes().to_vec())
+        .unwrap_or_default()
+}
