--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -2,3 +2,4 @@
 //! clock or a random source, so that tests and the load program can drive it.
 
 pub mod ownership;
+pub mod rule_log;
--- /dev/null
+++ b/src/decide/rule_log.rs
@@ -0,0 +1,300 @@
+//! [`RuleLog`]: the rules in force, as a log of changes that only grows.
+//!
+//! `docs/design.md`, "Rules", gives the keys under which the store holds changes and snapshots.
+
+use std::collections;
+
+use serde::{Deserialize, Serialize};
+
+use crate::model::ids;
+
+/// Changes between two snapshots in the store, and changes a node keeps for its peers.
+pub const SNAPSHOT_INTERVAL: u64 = 64;
+/// Prefix of all keys of the rules.
+pub const RULES_PREFIX: &str = "rules/";
+/// Prefix of the changes.
+pub const LOG_PREFIX: &str = "rules/log/";
+/// Key of the snapshot.
+pub const SNAPSHOT_KEY: &str = "rules/snapshot";
+/// Largest product of line counts for which a minimal difference is computed; 16 MB of table.
+const MAX_DIFF_CELLS: usize = 4_000_000;
+
+/// A line of a rules file, with its place.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RuleLine {
+    /// Number of the line, from 1: in the old text if removed, in the new text if added.
+    pub line: usize,
+    /// The line without its end.
+    pub text: String,
+}
+
+/// One accepted change of the rules, as `rules/log/<revision>` holds it in JSON.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RuleChange {
+    /// Drawn by the author, so that a lost answer can be settled by reading the key back.
+    pub id: String,
+    /// Revision that the change makes; one above that of the text it applies to.
+    pub revision: ids::RuleRevision,
+    /// Who applied the change.
+    pub author: String,
+    /// When it was applied, in milliseconds since the Unix epoch.
+    pub at: u64,
+    /// Lines that go, in ascending order.
+    pub removed: Vec<RuleLine>,
+    /// Lines that come, in ascending order.
+    pub added: Vec<RuleLine>,
+}
+
+/// The whole text at one revision, as [`SNAPSHOT_KEY`] holds it in JSON.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RuleSnapshot {
+    /// Revision of the text.
+    pub revision: ids::RuleRevision,
+    /// The rules file; every line ends with a line feed.
+    pub text: String,
+}
+
+/// What a node lacks, as a peer sends it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RuleUpdate {
+    /// The whole text.
+    Snapshot(RuleSnapshot),
+    /// The changes above the node's revision, in order.
+    Changes(Vec<RuleChange>),
+}
+
+/// Says why a change does not apply to a text.
+#[derive(Clone, Debug, PartialEq, Eq, derive_more::Display, derive_more::Error)]
+#[display("change {revision} does not apply: line {line}: {problem}")]
+pub struct ApplyError {
+    /// Revision of the change.
+    pub revision: ids::RuleRevision,
+    /// Line of the text.
+    pub line: usize,
+    /// What differs.
+    pub problem: String,
+}
+
+/// Returns the store key of a revision.
+#[must_use]
+pub fn log_key(revision: ids::RuleRevision) -> String {
+    format!("{LOG_PREFIX}{revision:012}")
+}
+
+/// Returns the lines to remove from `old` and to add to make `new`.
+#[must_use]
+pub fn diff(old: &str, new: &str) -> (Vec<RuleLine>, Vec<RuleLine>) {
+    let old_lines: Vec<&str> = old.lines().collect();
+    let new_lines: Vec<&str> = new.lines().collect();
+    let head = old_lines
+        .iter()
+        .zip(&new_lines)
+        .take_while(|(left, right)| left == right)
+        .count();
+    let tail = old_lines
+        .iter()
+        .skip(head)
+        .rev()
+        .zip(new_lines.iter().skip(head).rev())
+        .take_while(|(left, right)| left == right)
+        .count();
+    let old_middle = old_lines.get(head..old_lines.len() - tail).unwrap_or(&[]);
+    let new_middle = new_lines.get(head..new_lines.len() - tail).unwrap_or(&[]);
+    let (old_kept, new_kept) = common_lines(old_middle, new_middle);
+    (
+        lines_without(old_middle, &old_kept, head),
+        lines_without(new_middle, &new_kept, head),
+    )
+}
+
+fn lines_without(
+    lines: &[&str],
+    kept: &collections::BTreeSet<usize>,
+    head: usize,
+) -> Vec<RuleLine> {
+    lines
+        .iter()
+        .enumerate()
+        .filter(|(index, _)| !kept.contains(index))
+        .map(|(index, text)| RuleLine {
+            line: head + index + 1,
+            text: (*text).to_owned(),
+        })
+        .collect()
+}
+
+/// Returns the indexes of a longest common subsequence on both sides. Files too large for the table
+/// are taken as wholly different, which is still a correct change.
+fn common_lines(
+    old: &[&str],
+    new: &[&str],
+) -> (collections::BTreeSet<usize>, collections::BTreeSet<usize>) {
+    let mut old_kept = collections::BTreeSet::new();
+    let mut new_kept = collections::BTreeSet::new();
+    if old.len().saturating_mul(new.len()) > MAX_DIFF_CELLS {
+        return (old_kept, new_kept);
+    }
+    let width = new.len() + 1;
+    let mut table = vec![0_u32; (old.len() + 1) * width];
+    for (row, left) in old.iter().enumerate().rev() {
+        for (column, right) in new.iter().enumerate().rev() {
+            table[row * width + column] = if left == right {
+                table[(row + 1) * width + column + 1] + 1
+            } else {
+                table[(row + 1) * width + column].max(table[row * width + column + 1])
+            };
+        }
+    }
+    let (mut row, mut column) = (0, 0);
+    while row < old.len() && column < new.len() {
+        if old[row] == new[column] {
+            old_kept.insert(row);
+            new_kept.insert(column);
+            row += 1;
+            column += 1;
+        } else if table[(row + 1) * width + column] >= table[row * width + column + 1] {
+            row += 1;
+        } else {
+            column += 1;
+        }
+    }
+    (old_kept, new_kept)
+}
+
+/// Returns the text after `change`.
+///
+/// # Errors
+///
+/// Fails if a line to remove is not there, or a line to add is out of place.
+pub fn apply(text: &str, change: &RuleChange) -> Result<String, ApplyError> {
+    let error = |line: usize, problem: String| ApplyError {
+        revision: change.revision,
+        line,
+        problem,
+    };
+    let lines: Vec<&str> = text.lines().collect();
+    let mut removed = collections::BTreeSet::new();
+    for gone in &change.removed {
+        let found = gone.line.checked_sub(1).and_then(|index| lines.get(index));
+        if found != Some(&gone.text.as_str()) {
+            return Err(error(gone.line, format!("expected {:?}", gone.text)));
+        }
+        removed.insert(gone.line);
+    }
+    let mut kept = lines
+        .iter()
+        .enumerate()
+        .filter(|(index, _)| !removed.contains(&(index + 1)))
+        .map(|(_, line)| *line);
+    let mut result: Vec<&str> = Vec::with_capacity(lines.len() + change.added.len());
+    for new in &change.added {
+        if new.text.contains(['\n', '\r']) {
+            return Err(error(new.line, "a line contains a line end".to_owned()));
+        }
+        while result.len() + 1 < new.line {
+            let Some(line) = kept.next() else {
+                return Err(error(new.line, "the text is shorter".to_owned()));
+            };
+            result.push(line);
+        }
+        if result.len() + 1 != new.line {
+            return Err(error(new.line, "lines are out of order".to_owned()));
+        }
+        result.push(&new.text);
+    }
+    result.extend(kept);
+    Ok(result.iter().flat_map(|line| [*line, "\n"]).collect())
+}
+
+/// What became of an update.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum TakeOutcome {
+    /// The revision rose.
+    Taken,
+    /// Nothing newer was in it.
+    Known,
+    /// Changes between the node's revision and the update's first are missing.
+    Missing,
+    /// A change does not apply to the text in force; only a snapshot helps.
+    Broken(ApplyError),
+}
+
+/// The rules in force on one node. The revision never falls.
+#[derive(Clone, Debug, Default)]
+pub struct RuleLog {
+    current: RuleSnapshot,
+    recent: collections::VecDeque<RuleChange>,
+}
+
+impl RuleLog {
+    /// Returns the text in force and its revision.
+    #[must_use]
+    pub const fn current(&self) -> &RuleSnapshot {
+        &self.current
+    }
+
+    /// Takes what the store or a peer holds, as far as it is newer.
+    pub fn take(&mut self, update: RuleUpdate) -> TakeOutcome {
+        match update {
+            RuleUpdate::Snapshot(snapshot) => self.take_snapshot(snapshot),
+            RuleUpdate::Changes(changes) => self.take_changes(changes),
+        }
+    }
+
+    fn take_snapshot(&mut self, snapshot: RuleSnapshot) -> TakeOutcome {
+        if snapshot.revision <= self.current.revision {
+            return TakeOutcome::Known;
+        }
+        self.current = snapshot;
+        // The changes below a snapshot lead to another text than the kept ones end at.
+        self.recent.clear();
+        TakeOutcome::Taken
+    }
+
+    fn take_changes(&mut self, mut changes: Vec<RuleChange>) -> TakeOutcome {
+        changes.sort_by_key(|change| change.revision);
+        let mut outcome = TakeOutcome::Known;
+        for change in changes {
+            if change.revision <= self.current.revision {
+                continue;
+            }
+            if change.revision != self.current.revision + 1 {
+                return TakeOutcome::Missing;
+            }
+            match apply(&self.current.text, &change) {
+                Ok(text) => {
+                    self.current = RuleSnapshot {
+                        revision: change.revision,
+                        text,
+                    };
+                    self.recent.push_back(change);
+                    while self.recent.len() as u64 > SNAPSHOT_INTERVAL {
+                        self.recent.pop_front();
+                    }
+                    outcome = TakeOutcome::Taken;
+                }
+                Err(error) => return TakeOutcome::Broken(error),
+            }
+        }
+        outcome
+    }
+
+    /// Returns what a node at `revision` lacks, or `None` if it lacks nothing.
+    #[must_use]
+    pub fn update_for(&self, revision: ids::RuleRevision) -> Option<RuleUpdate> {
+        if revision >= self.current.revision {
+            return None;
+        }
+        let first_kept = self.recent.front().map(|change| change.revision);
+        if first_kept.is_some_and(|first| first <= revision + 1) {
+            let changes = self
+                .recent
+                .iter()
+                .filter(|change| change.revision > revision)
+                .cloned()
+                .collect();
+            return Some(RuleUpdate::Changes(changes));
+        }
+        Some(RuleUpdate::Snapshot(self.current.clone()))
+    }
+}
--- /dev/null
+++ b/tests/rule_log.rs
@@ -0,0 +1,102 @@
+//! The log of rule changes: nodes never revert and end at the same text.
+
+use persimmontack::decide::rule_log;
+
+fn change(revision: u64, old: &str, new: &str) -> rule_log::RuleChange {
+    let (removed, added) = rule_log::diff(old, new);
+    rule_log::RuleChange {
+        id: format!("change-{revision}"),
+        revision,
+        author: "operations".to_owned(),
+        at: revision,
+        removed,
+        added,
+    }
+}
+
+fn draw_text(u: &mut arbtest::arbitrary::Unstructured<'_>) -> arbtest::arbitrary::Result<String> {
+    let count = u.int_in_range(0..=8)?;
+    let mut text = String::new();
+    for _ in 0..count {
+        let line = u.choose(&["drain a", "drain b", "", "# note", "drain a  # x"])?;
+        text.push_str(line);
+        text.push('\n');
+    }
+    Ok(text)
+}
+
+/// Guards against a diff that loses, repeats or reorders lines when it is applied.
+#[test]
+fn a_diff_applied_to_the_old_text_gives_the_new_text() {
+    arbtest::arbtest(|u| {
+        let (old, new) = (draw_text(u)?, draw_text(u)?);
+        assert_eq!(rule_log::apply(&old, &change(1, &old, &new)), Ok(new));
+        Ok(())
+    });
+}
+
+/// Guards against a change that is applied to another text than it was made for.
+#[test]
+fn a_change_of_another_text_is_refused() {
+    let change = change(1, "a\nb\n", "a\n");
+    let error = rule_log::apply("a\nc\n", &change).expect_err("line 2 differs");
+    assert_eq!(error.line, 2);
+}
+
+/// Guards against nodes that revert, skip a change or differ after they have exchanged updates in
+/// any order, with losses and repeats.
+#[test]
+fn nodes_never_revert_and_all_converge() {
+    arbtest::arbtest(|u| {
+        let mut texts = vec![String::new()];
+        let mut changes = Vec::new();
+        for revision in 1..=u.int_in_range(1..=100_u64)? {
+            let old = texts.last().cloned().unwrap_or_default();
+            let new = if u.ratio(1, 8)? {
+                draw_text(u)?
+            } else {
+                format!("{old}rule {revision}\n")
+            };
+            changes.push(change(revision, &old, &new));
+            texts.push(new);
+        }
+        let mut nodes = vec![rule_log::RuleLog::default(); 3];
+        let exchange = |nodes: &mut Vec<rule_log::RuleLog>, from: usize, to: usize| {
+            let before = nodes[to].current().revision;
+            if let Some(update) = nodes[from].update_for(before) {
+                assert_eq!(nodes[to].take(update), rule_log::TakeOutcome::Taken);
+            }
+            assert!(nodes[to].current().revision >= before, "node reverted");
+            assert!(nodes[to].current().revision >= nodes[from].current().revision);
+        };
+        for _ in 0..u.int_in_range(0..=60)? {
+            let (from, to) = (u.int_in_range(0..=2_usize)?, u.int_in_range(0..=2_usize)?);
+            if u.ratio(1, 3)? {
+                // The store hands out a random stretch of its log, perhaps an old one.
+                let first = u.int_in_range(0..=changes.len())?;
+                let last = u.int_in_range(first..=changes.len())?;
+                let before = nodes[to].current().revision;
+                let outcome =
+                    nodes[to].take(rule_log::RuleUpdate::Changes(changes[first..last].to_vec()));
+                assert!(
+                    !matches!(outcome, rule_log::TakeOutcome::Broken(_)),
+                    "{outcome:?}"
+                );
+                assert!(nodes[to].current().revision >= before, "node reverted");
+            } else if from != to {
+                exchange(&mut nodes, from, to);
+            }
+            for node in &nodes {
+                assert_eq!(node.current().text, texts[node.current().revision as usize]);
+            }
+        }
+        nodes[0].take(rule_log::RuleUpdate::Changes(changes.clone()));
+        exchange(&mut nodes, 0, 1);
+        exchange(&mut nodes, 1, 2);
+        for node in &nodes {
+            assert_eq!(node.current().revision, changes.len() as u64);
+            assert_eq!(Some(&node.current().text), texts.last());
+        }
+        Ok(())
+    });
+}
