--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -6,3 +6,4 @@
 pub mod ownership;
 pub mod retry_budget;
 pub mod routing;
+pub mod rule_log;
--- a/src/decide/routing.rs
+++ b/src/decide/routing.rs
@@ -4,6 +4,18 @@
 
 use crate::model::{ids, log_position, upstream_spec, upstream_state};
 
+/// How far an upstream can be reached, best first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum UpstreamReach {
+    /// A pool reports a connection to it.
+    Reported,
+    /// No pool that can be reached reports on it; the next owner in rank may still reach it, and
+    /// checks the position and the term itself.
+    Assumed,
+    /// Every pool that reports on it has lost it.
+    Lost,
+}
+
 /// One upstream as the feeds describe it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct UpstreamView {
@@ -11,8 +23,8 @@
     pub spec: upstream_spec::UpstreamSpec,
     /// Latest state in any feed.
     pub state: Option<upstream_state::UpstreamState>,
-    /// Whether a pool that can be reached has a connection to it.
-    pub reachable: bool,
+    /// How far it can be reached.
+    pub reach: UpstreamReach,
     /// Whether it takes no new work.
     pub leaving: bool,
     /// Estimated wait for a slot.
@@ -52,7 +64,7 @@
         .iter()
         .filter_map(|view| Some((view, view.state.as_ref()?.primary_term?)))
         .max_by_key(|(_, term)| *term)
-        .filter(|(view, _)| view.reachable)
+        .filter(|(view, _)| view.reach != UpstreamReach::Lost)
 }
 
 /// Chooses the upstream for a write.
@@ -77,18 +89,19 @@
 ) -> Option<RouteChoice> {
     views
         .iter()
-        .filter(|view| view.reachable && !view.leaving)
+        .filter(|view| view.reach != UpstreamReach::Lost && !view.leaving)
         .filter(|view| !avoid.contains(&view.spec.upstream))
         .filter(|view| {
             view.state
                 .as_ref()
                 .is_some_and(|state| state.primary_term.is_none() && state.applied >= floor)
         })
-        .map(|view| (view.spec.data_centre != data_centre, view.wait, view))
-        .min_by(|left, right| {
-            (left.0, left.1, &left.2.spec.upstream).cmp(&(right.0, right.1, &right.2.spec.upstream))
+        .map(|view| {
+            let remote = view.spec.data_centre != data_centre;
+            ((view.reach, remote, view.wait, &view.spec.upstream), view)
         })
-        .map(|(remote, _, view)| RouteChoice {
+        .min_by_key(|(rank, _)| *rank)
+        .map(|((_, remote, _, _), view)| RouteChoice {
             upstream: view.spec.upstream.clone(),
             term: None,
             reason: if remote {
--- a/src/sql/classify.rs
+++ b/src/sql/classify.rs
@@ -11,92 +11,8 @@
 
 use crate::link::work_request;
 use crate::model::ids;
-use crate::sql::{parameters, statement_class};
+use crate::sql::{parameters, read_functions, statement_class};
 
-/// Functions that change no data and keep no session state.
-const READ_FUNCTIONS: [&str; 68] = [
-    "abs",
-    "array_agg",
-    "array_length",
-    "avg",
-    "bool_and",
-    "bool_or",
-    "btrim",
-    "ceil",
-    "ceiling",
-    "char_length",
-    "chr",
-    "coalesce",
-    "concat",
-    "concat_ws",
-    "count",
-    "current_database",
-    "current_schema",
-    "date_part",
-    "date_trunc",
-    "dense_rank",
-    "extract",
-    "first_value",
-    "floor",
-    "format",
-    "generate_series",
-    "greatest",
-    "initcap",
-    "json_agg",
-    "json_build_object",
-    "jsonb_agg",
-    "jsonb_build_object",
-    "lag",
-    "last_value",
-    "lead",
-    "least",
-    "left",
-    "length",
-    "lower",
-    "lpad",
-    "ltrim",
-    "max",
-    "md5",
-    "min",
-    "mod",
-    "now",
-    "nullif",
-    "octet_length",
-    "pg_sleep",
-    "position",
-    "power",
-    "random",
-    "rank",
-    "regexp_replace",
-    "repeat",
-    "replace",
-    "reverse",
-    "right",
-    "round",
-    "row_number",
-    "rpad",
-    "rtrim",
-    "split_part",
-    "sqrt",
-    "string_agg",
-    "substr",
-    "substring",
-    "sum",
-    "upper",
-];
-/// Functions that return a fixed value of the session or the time.
-const VALUE_FUNCTIONS: [&str; 10] = [
-    "current_date",
-    "current_time",
-    "current_timestamp",
-    "current_user",
-    "localtime",
-    "localtimestamp",
-    "session_user",
-    "trunc",
-    "unnest",
-    "version",
-];
 /// Longest text that is parsed. The parser's time and depth grow with the text, so a longer one
 /// counts as a write without being read.
 const MAX_PARSED_BYTES: usize = 256 * 1024;
@@ -454,7 +370,7 @@
     fn check(&mut self, name: &ast::ObjectName) -> ops::ControlFlow<()> {
         let name = object_text(name);
         let name = name.strip_prefix("pg_catalog.").unwrap_or(&name);
-        if READ_FUNCTIONS.contains(&name) || VALUE_FUNCTIONS.contains(&name) {
+        if read_functions::is_read(name) {
             return ops::ControlFlow::Continue(());
         }
         self.unknown = true;
@@ -496,9 +412,15 @@
 fn collect_tables(statements: &[ast::Statement]) -> Vec<String> {
     let mut tables = collections::BTreeSet::new();
     for statement in statements {
+        if let ast::Statement::Copy {
+            source: ast::CopySource::Table { table_name, .. },
+            ..
+        } = statement
+        {
+            tables.insert(object_text(table_name));
+        }
         let _flow = ast::visit_relations(statement, |name| {
-            let name = object_text(name);
-            tables.insert(name.rsplit('.').next().unwrap_or(&name).to_owned());
+            tables.insert(object_text(name));
             ops::ControlFlow::<()>::Continue(())
         });
     }
--- a/src/sql/mod.rs
+++ b/src/sql/mod.rs
@@ -3,4 +3,5 @@
 pub mod class_cache;
 pub mod classify;
 pub mod parameters;
+pub mod read_functions;
 pub mod statement_class;
--- a/src/sql/statement_class.rs
+++ b/src/sql/statement_class.rs
@@ -47,7 +47,7 @@
 pub struct StatementClass {
     /// The statements in order.
     pub parts: Vec<StatementPart>,
-    /// Tables that it names, in lower case and without a schema.
+    /// Tables that it names, in lower case.
     pub tables: Vec<String>,
     /// Hash of the text without its constants.
     pub fingerprint: ids::FingerprintId,
