--- a/src/sql/classify.rs
+++ b/src/sql/classify.rs
@@ -436,7 +436,7 @@
     let mut hasher = xxh3::Xxh3::new();
     for token in tokens {
         match token {
-            tokenizer::Token::Whitespace(_) => {}
+            tokenizer::Token::Whitespace(_) => continue,
             tokenizer::Token::Number(..)
             | tokenizer::Token::SingleQuotedString(_)
             | tokenizer::Token::EscapedStringLiteral(_)
