--- /dev/null
+++ b/src/decide/lease.rs
@@ -0,0 +1,106 @@
+//! Decides which shards of groups a VM holds, and the order in which keepers act for a group.
+//!
+//! Safety never depends on a lease: terms settle who is the primary. A lease only avoids that
+//! several keepers act at once.
+
+use std::cmp;
+use std::collections;
+use std::time;
+
+use xxhash_rust::xxh3;
+
+use crate::decide::ownership;
+use crate::model::{ids, vm_record};
+
+/// Shards of groups. The store takes several hundred writes a second, too few for a lease per group.
+pub const SHARD_COUNT: u64 = 64;
+/// Prefix of the keys of the shards.
+pub const LEASES_PREFIX: &str = "leases/";
+/// Keepers that probe a group and may act for it.
+pub const RANKED_KEEPERS: usize = 3;
+
+/// Returns the shard of a group.
+#[must_use]
+pub fn shard_of(group: &str) -> u64 {
+    xxh3::xxh3_64(group.as_bytes()) % SHARD_COUNT
+}
+
+/// Returns the store key of a shard.
+#[must_use]
+pub fn shard_key(shard: u64) -> String {
+    format!("{LEASES_PREFIX}shard-{shard:02}")
+}
+
+/// Returns the VMs that act for `key`, best first, in distinct data centres as far as there are
+/// enough.
+#[must_use]
+pub fn rank_keepers(key: &str, vms: &[vm_record::VmRecord]) -> Vec<ids::VmId> {
+    let mut ranked: Vec<_> = vms
+        .iter()
+        .filter(|vm| !vm.leaving)
+        .map(|vm| (cmp::Reverse(ownership::score(key, &vm.vm)), vm))
+        .collect();
+    ranked.sort_by(|left, right| (left.0, &left.1.vm).cmp(&(right.0, &right.1.vm)));
+    let mut centres = collections::BTreeSet::new();
+    let (mut first, mut rest) = (Vec::new(), Vec::new());
+    for (_, vm) in ranked {
+        if centres.insert(&vm.data_centre) {
+            first.push(vm.vm.clone());
+        } else {
+            rest.push(vm.vm.clone());
+        }
+    }
+    first.extend(rest);
+    first.truncate(RANKED_KEEPERS);
+    first
+}
+
+/// Returns the keepers of a group in the order in which they act: the holder of the shard's lease
+/// goes first if it is among them.
+#[must_use]
+pub fn acting_order(
+    group: &str,
+    vms: &[vm_record::VmRecord],
+    holder: Option<&str>,
+) -> Vec<ids::VmId> {
+    let mut order = rank_keepers(group, vms);
+    order.sort_by_key(|vm| Some(vm.as_str()) != holder);
+    order
+}
+
+/// Decides when a VM takes the key of a shard.
+#[derive(Clone, Debug, Default)]
+pub struct ShardTaker {
+    absent_since: collections::BTreeMap<u64, time::Duration>,
+}
+
+impl ShardTaker {
+    /// Returns the shards to take: those without a holder for which the VM comes first, or for
+    /// which the VMs before it let `patience` pass for each rank.
+    pub fn shards_to_take(
+        &mut self,
+        own: &str,
+        vms: &[vm_record::VmRecord],
+        holders: &collections::BTreeMap<u64, ids::VmId>,
+        now: time::Duration,
+        patience: time::Duration,
+    ) -> Vec<u64> {
+        let mut wanted = Vec::new();
+        for shard in 0..SHARD_COUNT {
+            if holders.contains_key(&shard) {
+                self.absent_since.remove(&shard);
+                continue;
+            }
+            let since = *self.absent_since.entry(shard).or_insert(now);
+            let order = rank_keepers(&shard_key(shard), vms);
+            let Some(rank) = order.iter().position(|vm| vm == own) else {
+                continue;
+            };
+            let rank = u32::try_from(rank).unwrap_or(u32::MAX);
+            if now >= since + patience.saturating_mul(rank) {
+                wanted.push(shard);
+            }
+        }
+        wanted
+    }
+}
--- /dev/null
+++ b/src/decide/membership.rs
@@ -0,0 +1,187 @@
+//! Decides which VMs are alive, from heartbeats that keepers pass on and the platform's list.
+
+use std::collections;
+use std::time;
+
+use serde::{Deserialize, Serialize};
+
+use crate::model::{ids, vm_record};
+
+/// Time without progress of its heartbeat after which a VM owns nothing. It covers four ticks of
+/// the gossip.
+pub const DEAD_AFTER: time::Duration = time::Duration::from_millis(1_000);
+/// Age up to which the platform's list vouches for a VM that was never heard.
+pub const LIST_FRESH_FOR: time::Duration = time::Duration::from_secs(10);
+/// Time after which a silent VM that is not in the list is forgotten.
+const FORGET_AFTER: time::Duration = time::Duration::from_secs(60);
+
+/// Rule revisions in force on a VM.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RevisionSet {
+    /// On its keeper.
+    pub keeper: ids::RuleRevision,
+    /// On its entry, once heard from.
+    pub entry: Option<ids::RuleRevision>,
+    /// On its pool, once heard from.
+    pub pool: Option<ids::RuleRevision>,
+}
+
+/// Sign of life of a VM's keeper, about 25 bytes on the wire.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberPulse {
+    /// The VM.
+    pub vm: ids::VmId,
+    /// Start of its keeper, in milliseconds since the Unix epoch; a later start replaces an
+    /// earlier one.
+    pub start: u64,
+    /// Grows with each tick of the gossip.
+    pub heartbeat: u64,
+    /// True once the VM's keeper is stopping.
+    pub leaving: bool,
+    /// Rules in force.
+    pub revisions: RevisionSet,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Member {
+    record: Option<vm_record::VmRecord>,
+    listed: bool,
+    pulse: Option<MemberPulse>,
+    moved: time::Duration,
+    unreachable: bool,
+}
+
+/// What one keeper knows about all VMs. `now` is the time since the start of the process.
+#[derive(Clone, Debug)]
+pub struct MemberTable {
+    own: ids::VmId,
+    members: collections::BTreeMap<ids::VmId, Member>,
+    listed_at: Option<time::Duration>,
+}
+
+impl MemberTable {
+    /// Creates the table of the keeper on VM `own`.
+    #[must_use]
+    pub const fn new(own: ids::VmId) -> Self {
+        Self {
+            own,
+            members: collections::BTreeMap::new(),
+            listed_at: None,
+        }
+    }
+
+    /// Takes the platform's list. A VM that is missing stays as long as it is heard, since the
+    /// list lags.
+    pub fn take_list(&mut self, records: Vec<vm_record::VmRecord>, now: time::Duration) {
+        self.listed_at = Some(now);
+        for member in self.members.values_mut() {
+            member.listed = false;
+        }
+        for record in records {
+            let member = self.members.entry(record.vm.clone()).or_default();
+            member.listed = true;
+            member.record = Some(record);
+        }
+        let own = &self.own;
+        self.members
+            .retain(|vm, member| member.listed || vm == own || now < member.moved + FORGET_AFTER);
+    }
+
+    /// Takes the records that a peer knows, for VMs without one.
+    pub fn take_records(&mut self, records: Vec<vm_record::VmRecord>) {
+        for record in records {
+            let member = self.members.entry(record.vm.clone()).or_default();
+            member.record.get_or_insert(record);
+        }
+    }
+
+    /// Takes a pulse and tells whether it is news.
+    pub fn take_pulse(&mut self, pulse: MemberPulse, now: time::Duration) -> bool {
+        let member = self.members.entry(pulse.vm.clone()).or_default();
+        let known = member
+            .pulse
+            .as_ref()
+            .map(|known| (known.start, known.heartbeat));
+        if known.is_some_and(|known| known >= (pulse.start, pulse.heartbeat)) {
+            return false;
+        }
+        member.pulse = Some(pulse);
+        member.moved = now;
+        member.unreachable = false;
+        true
+    }
+
+    /// Notes that an exchange with the VM failed, which matters only for one never heard.
+    pub fn note_unreachable(&mut self, vm: &str) {
+        if let Some(member) = self.members.get_mut(vm) {
+            member.unreachable = true;
+        }
+    }
+
+    /// Tells whether a VM may own upstreams and probe groups.
+    #[must_use]
+    pub fn is_alive(&self, vm: &str, now: time::Duration) -> bool {
+        if vm == self.own {
+            return true;
+        }
+        let Some(member) = self.members.get(vm) else {
+            return false;
+        };
+        if member.pulse.is_some() {
+            return now < member.moved + DEAD_AFTER;
+        }
+        let fresh = self.listed_at.is_some_and(|at| now < at + LIST_FRESH_FOR);
+        member.listed && fresh && !member.unreachable
+    }
+
+    /// Returns the records of the live VMs, with those that leave marked, in the order of names.
+    #[must_use]
+    pub fn live_vms(&self, now: time::Duration) -> Vec<vm_record::VmRecord> {
+        self.members
+            .iter()
+            .filter(|(vm, _)| self.is_alive(vm, now))
+            .filter_map(|(_, member)| {
+                let mut record = member.record.clone()?;
+                record.leaving |= member.pulse.as_ref().is_some_and(|pulse| pulse.leaving);
+                Some(record)
+            })
+            .collect()
+    }
+
+    /// Returns every known record.
+    #[must_use]
+    pub fn records(&self) -> Vec<vm_record::VmRecord> {
+        self.members
+            .values()
+            .filter_map(|member| member.record.clone())
+            .collect()
+    }
+
+    /// Returns the pulses to pass on, at most `limit`, those that moved last first.
+    #[must_use]
+    pub fn pulses(&self, limit: usize) -> Vec<MemberPulse> {
+        let mut known: Vec<_> = self
+            .members
+            .values()
+            .filter_map(|member| Some((member.moved, member.pulse.as_ref()?)))
+            .collect();
+        known.sort_by(|left, right| right.0.cmp(&left.0).then(left.1.vm.cmp(&right.1.vm)));
+        known
+            .into_iter()
+            .take(limit)
+            .map(|(_, pulse)| pulse.clone())
+            .collect()
+    }
+
+    /// Returns the last pulse of a VM.
+    #[must_use]
+    pub fn pulse(&self, vm: &str) -> Option<&MemberPulse> {
+        self.members.get(vm)?.pulse.as_ref()
+    }
+
+    /// Tells whether a VM is heard whose addresses are unknown.
+    #[must_use]
+    pub fn lacks_records(&self) -> bool {
+        self.members.values().any(|member| member.record.is_none())
+    }
+}
--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -8,6 +8,7 @@
 pub mod feed_update;
 pub mod frame_reader;
 pub mod frame_writer;
+pub mod gossip;
 pub mod hello;
 pub mod link_error;
 pub mod observe;
