Add a first working keeper

Settings, platform lists, tables for the entry and the pool, gossip, rules from the store, leases, probes, promotion and the operators' requests.

--- /dev/null
+++ b/src/blackboard/control_board.rs
@@ -0,0 +1,162 @@
+//! [`ControlBoard`]: the tables of a keeper.
+
+use std::collections;
+use std::sync;
+use std::sync::atomic;
+use std::time;
+
+use crate::decide::{membership, rule_log};
+use crate::link::{control, program_report};
+use crate::model::{control_tables, group_spec, ids};
+
+/// The tables of a keeper. Locks are taken in the order of the fields, and never held across a
+/// wait.
+#[derive(Debug)]
+pub struct ControlBoard {
+    own: ids::VmId,
+    started: time::Instant,
+    members: sync::Mutex<membership::MemberTable>,
+    rules: sync::Mutex<rule_log::RuleLog>,
+    groups: sync::Mutex<Vec<group_spec::GroupSpec>>,
+    holders: sync::Mutex<collections::BTreeMap<u64, ids::VmId>>,
+    programs: sync::Mutex<collections::BTreeMap<String, program_report::ProgramReport>>,
+    statuses: sync::Mutex<collections::BTreeMap<ids::GroupId, control::GroupStatus>>,
+    platform_reachable: atomic::AtomicBool,
+    leaving: atomic::AtomicBool,
+    tables: tokio::sync::watch::Sender<sync::Arc<control_tables::ControlTables>>,
+}
+
+/// Locks a table. Its content stays usable if a task panicked while it held the lock, since every
+/// change is a single assignment or insertion.
+fn lock<T>(mutex: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(sync::PoisonError::into_inner)
+}
+
+impl ControlBoard {
+    /// Creates the empty tables of the keeper on VM `own`.
+    #[must_use]
+    pub fn new(own: &str) -> Self {
+        Self {
+            own: own.to_owned(),
+            started: time::Instant::now(),
+            members: sync::Mutex::new(membership::MemberTable::new(own.to_owned())),
+            rules: sync::Mutex::default(),
+            groups: sync::Mutex::default(),
+            holders: sync::Mutex::default(),
+            programs: sync::Mutex::default(),
+            statuses: sync::Mutex::default(),
+            platform_reachable: atomic::AtomicBool::new(false),
+            leaving: atomic::AtomicBool::new(false),
+            tables: tokio::sync::watch::Sender::default(),
+        }
+    }
+
+    /// Returns the VM of this keeper.
+    #[must_use]
+    pub fn own(&self) -> &str {
+        &self.own
+    }
+
+    /// Returns the time since the keeper started.
+    #[must_use]
+    pub fn now(&self) -> time::Duration {
+        self.started.elapsed()
+    }
+
+    /// Locks the members. Written by the gossip and by the platform poll.
+    pub fn members(&self) -> sync::MutexGuard<'_, membership::MemberTable> {
+        lock(&self.members)
+    }
+
+    /// Locks the rules. Written by the gossip and by the watch of the store.
+    pub fn rules(&self) -> sync::MutexGuard<'_, rule_log::RuleLog> {
+        lock(&self.rules)
+    }
+
+    /// Locks the groups. Written by the platform poll, and by the gossip while it is empty.
+    pub fn groups(&self) -> sync::MutexGuard<'_, Vec<group_spec::GroupSpec>> {
+        lock(&self.groups)
+    }
+
+    /// Locks the holders of shards. Written by the lease task.
+    pub fn holders(&self) -> sync::MutexGuard<'_, collections::BTreeMap<u64, ids::VmId>> {
+        lock(&self.holders)
+    }
+
+    /// Locks the reports of the entry and the pool. Written by their `Tables` streams.
+    pub fn programs(
+        &self,
+    ) -> sync::MutexGuard<'_, collections::BTreeMap<String, program_report::ProgramReport>> {
+        lock(&self.programs)
+    }
+
+    /// Locks the states of the groups that this keeper probes. Written by the group workers.
+    pub fn statuses(
+        &self,
+    ) -> sync::MutexGuard<'_, collections::BTreeMap<ids::GroupId, control::GroupStatus>> {
+        lock(&self.statuses)
+    }
+
+    /// Notes whether the platform answered.
+    pub fn set_platform_reachable(&self, reachable: bool) {
+        self.platform_reachable
+            .store(reachable, atomic::Ordering::Relaxed);
+    }
+
+    /// Tells whether the platform answered the last call.
+    #[must_use]
+    pub fn platform_reachable(&self) -> bool {
+        self.platform_reachable.load(atomic::Ordering::Relaxed)
+    }
+
+    /// Notes that this keeper is stopping.
+    pub fn set_leaving(&self) {
+        self.leaving.store(true, atomic::Ordering::Relaxed);
+    }
+
+    /// Tells whether this keeper is stopping.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(atomic::Ordering::Relaxed)
+    }
+
+    /// Returns the rule revisions in force on this VM.
+    #[must_use]
+    pub fn own_revisions(&self) -> membership::RevisionSet {
+        let keeper = self.rules().current().revision;
+        let programs = self.programs();
+        let revision = |name: &str| programs.get(name).map(|report| report.rules_revision);
+        membership::RevisionSet {
+            keeper,
+            entry: revision("persimmon-entry"),
+            pool: revision("persimmon-pool"),
+        }
+    }
+
+    /// Hands the tables out if they have changed. Returns whether they have.
+    pub fn publish(&self) -> bool {
+        let vms = self.members().live_vms(self.now());
+        let rules = self.rules().current().clone();
+        let groups = self.groups().clone();
+        let next = control_tables::ControlTables {
+            vms,
+            groups,
+            rules_revision: rules.revision,
+            rules_text: rules.text,
+        };
+        self.tables.send_if_modified(|current| {
+            // Two tasks may publish at once; the later of two revisions stays.
+            if **current == next || next.rules_revision < current.rules_revision {
+                return false;
+            }
+            *current = sync::Arc::new(next);
+            true
+        })
+    }
+
+    /// Follows the tables.
+    #[must_use]
+    pub fn follow(&self) -> tokio::sync::watch::Receiver<sync::Arc<control_tables::ControlTables>> {
+        self.tables.subscribe()
+    }
+}
--- /dev/null
+++ b/src/keeper/control_answers.rs
@@ -0,0 +1,202 @@
+//! Answers operators: status of the deployment, and planned moves.
+
+use std::collections;
+use std::sync;
+
+use crate::blackboard::control_board;
+use crate::decide::{failover, lease};
+use crate::dial;
+use crate::event;
+use crate::keeper::daemon;
+use crate::keeper::group_supervisor;
+use crate::link::{client, control, hello, link_error, server, stream_kind};
+use crate::model::{control_tables, ids, vm_record};
+
+/// Answers `Control` streams. Cheap to clone.
+#[derive(Clone, Debug)]
+pub struct ControlAnswers {
+    /// Tables.
+    pub board: sync::Arc<control_board::ControlBoard>,
+    /// Workers of this keeper's groups.
+    pub groups: group_supervisor::GroupSupervisor,
+    /// Dialer of the keeper.
+    pub dialer: dial::TcpDialer,
+    /// Greeting of the keeper.
+    pub hello: hello::Hello,
+}
+
+impl ControlAnswers {
+    /// Answers one stream.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the link breaks.
+    pub async fn serve(&self, mut stream: server::PeerStream) -> Result<(), link_error::LinkError> {
+        let request: control::ControlRequest = stream.reader.expect().await?;
+        // A keeper's request is not passed on again.
+        let from_keeper = stream.greeting.program == daemon::PROGRAM;
+        let reply = match request {
+            control::ControlRequest::Status => {
+                let mut report = self.local_status();
+                if !from_keeper {
+                    self.add_remote_groups(&mut report).await;
+                }
+                control::ControlReply::Status(report)
+            }
+            control::ControlRequest::Promote { group, upstream } => {
+                self.promote(group, upstream, from_keeper).await
+            }
+            control::ControlRequest::Explain(_) => {
+                control::ControlReply::Failed("a keeper routes nothing; ask an entry".to_owned())
+            }
+        };
+        stream.writer.send_last(&reply).await
+    }
+
+    fn current(&self) -> sync::Arc<control_tables::ControlTables> {
+        self.board.follow().borrow().clone()
+    }
+
+    fn local_status(&self) -> control::StatusReport {
+        let now = self.board.now();
+        let own_revisions = self.board.own_revisions();
+        let members = self.board.members();
+        let vms = members
+            .records()
+            .into_iter()
+            .map(|record| {
+                let pulse = members.pulse(&record.vm);
+                let revisions = if record.vm == self.board.own() {
+                    own_revisions
+                } else {
+                    pulse.map(|pulse| pulse.revisions).unwrap_or_default()
+                };
+                control::VmStatus {
+                    alive: members.is_alive(&record.vm, now),
+                    leaving: record.leaving || pulse.is_some_and(|pulse| pulse.leaving),
+                    vm: record.vm,
+                    data_centre: record.data_centre,
+                    keeper_revision: revisions.keeper,
+                    entry_revision: revisions.entry,
+                    pool_revision: revisions.pool,
+                }
+            })
+            .collect();
+        drop(members);
+        let programs = self.board.programs().clone().into_iter().collect();
+        let groups = self.board.statuses().values().cloned().collect();
+        control::StatusReport {
+            vm: self.board.own().to_owned(),
+            platform_reachable: self.board.platform_reachable(),
+            rules_revision: own_revisions.keeper,
+            groups,
+            vms,
+            programs,
+        }
+    }
+
+    /// Asks the keepers that probe the groups which this one does not.
+    async fn add_remote_groups(&self, report: &mut control::StatusReport) {
+        let tables = self.current();
+        let mut known: collections::BTreeSet<ids::GroupId> = report
+            .groups
+            .iter()
+            .map(|group| group.group.clone())
+            .collect();
+        for group in &tables.groups {
+            if known.contains(&group.group) {
+                continue;
+            }
+            for record in self.probing_vms(&group.group, &tables) {
+                let answer = self.ask(&record, &control::ControlRequest::Status).await;
+                let Ok(control::ControlReply::Status(remote)) = answer else {
+                    continue;
+                };
+                for status in remote.groups {
+                    if known.insert(status.group.clone()) {
+                        report.groups.push(status);
+                    }
+                }
+                if known.contains(&group.group) {
+                    break;
+                }
+            }
+        }
+        report
+            .groups
+            .sort_by(|left, right| left.group.cmp(&right.group));
+    }
+
+    fn probing_vms(
+        &self,
+        group: &str,
+        tables: &control_tables::ControlTables,
+    ) -> Vec<vm_record::VmRecord> {
+        let holder = self.board.holders().get(&lease::shard_of(group)).cloned();
+        lease::acting_order(group, &tables.vms, holder.as_deref())
+            .into_iter()
+            .filter(|vm| vm != self.board.own())
+            .filter_map(|vm| tables.vms.iter().find(|record| record.vm == vm).cloned())
+            .collect()
+    }
+
+    async fn promote(
+        &self,
+        group: ids::GroupId,
+        target: Option<ids::UpstreamId>,
+        from_keeper: bool,
+    ) -> control::ControlReply {
+        let tables = self.current();
+        let Some(spec) = tables.groups.iter().find(|spec| spec.group == group) else {
+            return control::ControlReply::Failed(format!("group {group} does not exist"));
+        };
+        if let Some(target) = &target
+            && !spec
+                .upstreams
+                .iter()
+                .any(|upstream| upstream.upstream == *target)
+        {
+            return control::ControlReply::Failed(format!(
+                "group {group} has no upstream {target}"
+            ));
+        }
+        event::info("move_requested", &[("group", &group)]);
+        if let Some(outcome) = self.groups.move_primary(&group, target.clone()).await {
+            return match outcome {
+                failover::MoveOutcome::Done(upstream) => control::ControlReply::Done(format!(
+                    "{upstream} is the primary of group {group}"
+                )),
+                failover::MoveOutcome::Failed(cause) => control::ControlReply::Failed(cause),
+            };
+        }
+        if !from_keeper {
+            let request = control::ControlRequest::Promote {
+                group: group.clone(),
+                upstream: target,
+            };
+            let mut failures = Vec::new();
+            for record in self.probing_vms(&group, &tables) {
+                match self.ask(&record, &request).await {
+                    Ok(reply) => return reply,
+                    Err(error) => failures.push(error.to_string()),
+                }
+            }
+            return control::ControlReply::Failed(format!(
+                "no keeper of group {group} answered: {}",
+                failures.join("; ")
+            ));
+        }
+        control::ControlReply::Failed(format!("this keeper does not act for group {group}"))
+    }
+
+    async fn ask(
+        &self,
+        record: &vm_record::VmRecord,
+        request: &control::ControlRequest,
+    ) -> Result<control::ControlReply, link_error::LinkError> {
+        let link = client::PeerClient::connect(&self.dialer, record.keeper, &self.hello).await?;
+        let (mut writer, mut reader) = link.open(stream_kind::StreamKind::Control).await?;
+        writer.send_last(request).await?;
+        reader.expect().await
+    }
+}
--- /dev/null
+++ b/src/keeper/daemon.rs
@@ -0,0 +1,162 @@
+//! Starts the tasks of a keeper and stops them.
+
+use std::sync;
+use std::time;
+
+use crate::blackboard::control_board;
+use crate::dial;
+use crate::event;
+use crate::health;
+use crate::keeper::{
+    control_answers, gossip_task, group_supervisor, group_worker, lease_task, platform_poll,
+    rules_watch, settings, tables_stream,
+};
+use crate::link::{hello, server, stream_kind};
+use crate::platform::client;
+use crate::shutdown;
+
+/// Name of the program.
+pub const PROGRAM: &str = "persimmon-keeper";
+
+/// Runs a keeper until the shutdown.
+///
+/// # Errors
+///
+/// Fails with a text that names the listener if one cannot be bound.
+pub async fn run(
+    settings: settings::KeeperSettings,
+    shutdown: shutdown::ShutdownSignal,
+) -> Result<(), String> {
+    let settings = sync::Arc::new(settings);
+    let ready = health::ReadyFlag::default();
+    let health_address = health::start(settings.health, ready.clone())
+        .await
+        .map_err(|error| format!("health = {:?}: {error}", settings.health.to_string()))?;
+    event::info(
+        "listening",
+        &[("what", &"health"), ("address", &health_address)],
+    );
+    let bind_error = |error| format!("link = {:?}: {error}", settings.link.to_string());
+    let listener = tokio::net::TcpListener::bind(settings.link)
+        .await
+        .map_err(bind_error)?;
+    let link_address = listener.local_addr().map_err(bind_error)?;
+    event::info(
+        "listening",
+        &[("what", &"link"), ("address", &link_address)],
+    );
+
+    let dialer = dial::TcpDialer {
+        source: settings.source,
+        timeout: time::Duration::from_millis(settings.limits.call_ms),
+    };
+    let board = sync::Arc::new(control_board::ControlBoard::new(&settings.vm));
+    let hello = hello::Hello::new(&settings.vm, PROGRAM);
+    let platform = client::PlatformClient::new(settings.platform, &settings.vm, dialer);
+    let gossip = gossip_task::GossipTask::new(
+        sync::Arc::clone(&board),
+        dialer,
+        hello.clone(),
+        &settings.peers,
+    );
+    let groups = group_supervisor::GroupSupervisor::new(group_worker::WorkerContext {
+        board: sync::Arc::clone(&board),
+        settings: sync::Arc::clone(&settings),
+        dialer,
+    });
+    let answers = control_answers::ControlAnswers {
+        board: sync::Arc::clone(&board),
+        groups: groups.clone(),
+        dialer,
+        hello: hello.clone(),
+    };
+
+    let mut tasks = tokio::task::JoinSet::new();
+    tasks.spawn(serve_links(
+        server::PeerServer::new(listener, hello),
+        sync::Arc::clone(&board),
+        gossip.clone(),
+        answers,
+    ));
+    tasks.spawn(platform_poll::run(
+        sync::Arc::clone(&board),
+        platform.clone(),
+    ));
+    tasks.spawn(rules_watch::run(sync::Arc::clone(&board), platform.clone()));
+    tasks.spawn(gossip.clone().run());
+    tasks.spawn(groups.run());
+    tasks.spawn(follow_readiness(sync::Arc::clone(&board), ready.clone()));
+    let lease = tokio::spawn(lease_task::run(
+        sync::Arc::clone(&board),
+        platform,
+        time::Duration::from_millis(settings.limits.lease_ms),
+        shutdown.clone(),
+    ));
+    event::info("started", &[("program", &PROGRAM), ("vm", &settings.vm)]);
+
+    shutdown.wait().await;
+    let drain = time::Duration::from_millis(settings.limits.drain_ms);
+    event::info("stopping", &[("drain_ms", &drain.as_millis())]);
+    ready.set(false);
+    gossip.announce_leaving().await;
+    // Others take over the groups and the rules meanwhile; this keeper still answers.
+    tokio::time::sleep(drain).await;
+    if tokio::time::timeout(drain.max(dialer.timeout), lease)
+        .await
+        .is_err()
+    {
+        event::warn("lease_not_revoked", &[("cause", &"no answer in time")]);
+    }
+    tasks.shutdown().await;
+    event::info("stopped", &[("program", &PROGRAM)]);
+    Ok(())
+}
+
+async fn follow_readiness(board: sync::Arc<control_board::ControlBoard>, ready: health::ReadyFlag) {
+    let mut tables = board.follow();
+    // The sender lives as long as the board.
+    if tables
+        .wait_for(|tables| !tables.groups.is_empty())
+        .await
+        .is_ok()
+        && !board.is_leaving()
+    {
+        ready.set(true);
+        event::info("ready", &[]);
+    }
+}
+
+async fn serve_links(
+    server: server::PeerServer,
+    board: sync::Arc<control_board::ControlBoard>,
+    gossip: gossip_task::GossipTask,
+    answers: control_answers::ControlAnswers,
+) {
+    server
+        .run(move |mut stream| {
+            let board = sync::Arc::clone(&board);
+            let gossip = gossip.clone();
+            let answers = answers.clone();
+            async move {
+                let (vm, program) = (stream.greeting.vm.clone(), stream.greeting.program.clone());
+                let outcome = match stream.kind {
+                    stream_kind::StreamKind::Tables => tables_stream::serve(board, stream).await,
+                    stream_kind::StreamKind::Gossip => gossip.serve(stream).await,
+                    stream_kind::StreamKind::Control => answers.serve(stream).await,
+                    stream_kind::StreamKind::Work
+                    | stream_kind::StreamKind::Feed
+                    | stream_kind::StreamKind::Observe => {
+                        stream.writer.abort();
+                        Ok(())
+                    }
+                };
+                if let Err(error) = outcome {
+                    event::debug(
+                        "stream_ended",
+                        &[("vm", &vm), ("program", &program), ("cause", &error)],
+                    );
+                }
+            }
+        })
+        .await;
+}
--- /dev/null
+++ b/src/keeper/gossip_task.rs
@@ -0,0 +1,315 @@
+//! Exchanges signs of life, tables and rules with other keepers.
+
+use std::collections;
+use std::net;
+use std::sync;
+use std::time;
+
+use rand::seq::IndexedRandom;
+
+use crate::blackboard::control_board;
+use crate::decide::{membership, rule_log};
+use crate::dial;
+use crate::event;
+use crate::link::gossip;
+use crate::link::{client, frame_reader, frame_writer, hello, link_error, server, stream_kind};
+use crate::model::{ids, vm_record};
+
+/// Time between two rounds. A keeper calls at most 4 peers a round and is called by as many on
+/// average, with frames of about 25 bytes a VM: 7 KB/s both ways at 8 VMs, 4 KB/s at 4.
+const TICK_INTERVAL: time::Duration = time::Duration::from_millis(200);
+/// Peers of the own data centre called in a round.
+const LOCAL_PEERS: usize = 3;
+/// Peers of other data centres called in a round.
+const REMOTE_PEERS: usize = 1;
+/// Peers called at once when the rules change or the keeper leaves. Each of them does the same, so
+/// that a change reaches all of 3,000 keepers within four steps.
+const PUSH_PEERS: usize = 8;
+/// Signs of life in one frame. It bounds a frame at about 1.2 KB as the deployment grows.
+const MAX_PULSES: usize = 48;
+/// Time within which an exchange has to end; longer ones would overlap the next rounds.
+const EXCHANGE_TIMEOUT: time::Duration = time::Duration::from_millis(400);
+
+/// Gossip of one keeper. Cheap to clone.
+#[derive(Clone, Debug)]
+pub struct GossipTask {
+    board: sync::Arc<control_board::ControlBoard>,
+    dialer: dial::TcpDialer,
+    hello: hello::Hello,
+    start: u64,
+    seeds: sync::Arc<[net::SocketAddr]>,
+    links: sync::Arc<sync::Mutex<collections::BTreeMap<net::SocketAddr, client::PeerClient>>>,
+    busy: sync::Arc<sync::Mutex<collections::BTreeSet<net::SocketAddr>>>,
+}
+
+#[derive(Clone, Debug)]
+struct Peer {
+    vm: Option<ids::VmId>,
+    address: net::SocketAddr,
+}
+
+impl From<&vm_record::VmRecord> for Peer {
+    fn from(record: &vm_record::VmRecord) -> Self {
+        Self {
+            vm: Some(record.vm.clone()),
+            address: record.keeper,
+        }
+    }
+}
+
+impl GossipTask {
+    /// Creates the gossip of a keeper; `seeds` are peers to ask while no VM is known.
+    #[must_use]
+    pub fn new(
+        board: sync::Arc<control_board::ControlBoard>,
+        dialer: dial::TcpDialer,
+        hello: hello::Hello,
+        seeds: &[net::SocketAddr],
+    ) -> Self {
+        let since_epoch = time::SystemTime::now().duration_since(time::UNIX_EPOCH);
+        let start = since_epoch.map_or(0, |since| since.as_millis());
+        Self {
+            board,
+            dialer: dial::TcpDialer {
+                timeout: EXCHANGE_TIMEOUT,
+                ..dialer
+            },
+            hello,
+            start: u64::try_from(start).unwrap_or(u64::MAX),
+            seeds: seeds.into(),
+            links: sync::Arc::default(),
+            busy: sync::Arc::default(),
+        }
+    }
+
+    /// Gossips for good: at each tick, and at once when the rules change.
+    pub async fn run(self) {
+        let mut ticks = tokio::time::interval(TICK_INTERVAL);
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut tables = self.board.follow();
+        let mut pushed = 0;
+        loop {
+            let peers = tokio::select! {
+                _ = ticks.tick() => {
+                    self.beat();
+                    self.board.publish();
+                    self.choose_peers(LOCAL_PEERS, REMOTE_PEERS)
+                }
+                changed = tables.changed() => {
+                    let revision = tables.borrow_and_update().rules_revision;
+                    if changed.is_err() || revision == pushed {
+                        continue;
+                    }
+                    pushed = revision;
+                    self.beat();
+                    self.choose_peers(PUSH_PEERS, PUSH_PEERS)
+                }
+            };
+            for peer in peers {
+                let task = self.clone();
+                tokio::spawn(async move { task.call(peer).await });
+            }
+        }
+    }
+
+    /// Tells peers that this keeper leaves.
+    pub async fn announce_leaving(&self) {
+        self.board.set_leaving();
+        self.beat();
+        let peers = self.choose_peers(PUSH_PEERS, PUSH_PEERS);
+        futures::future::join_all(peers.into_iter().map(|peer| self.call(peer))).await;
+    }
+
+    /// Advances the own heartbeat.
+    fn beat(&self) {
+        let revisions = self.board.own_revisions();
+        let leaving = self.board.is_leaving();
+        let mut members = self.board.members();
+        let heartbeat = members
+            .pulse(self.board.own())
+            .map_or(0, |pulse| pulse.heartbeat);
+        let pulse = membership::MemberPulse {
+            vm: self.board.own().to_owned(),
+            start: self.start,
+            heartbeat: heartbeat + 1,
+            leaving,
+            revisions,
+        };
+        members.take_pulse(pulse, self.board.now());
+    }
+
+    fn choose_peers(&self, local: usize, remote: usize) -> Vec<Peer> {
+        // Silent VMs are called too: one that was cut off has to be found again.
+        let records = self.board.members().records();
+        let own = self.board.own();
+        let centre = records
+            .iter()
+            .find(|record| record.vm == own)
+            .map(|record| record.data_centre.clone());
+        let (near, far): (Vec<_>, Vec<_>) = records
+            .iter()
+            .filter(|record| record.vm != own)
+            .partition(|record| Some(&record.data_centre) == centre.as_ref());
+        let mut random = rand::rng();
+        let mut peers: Vec<Peer> = near
+            .sample(&mut random, local)
+            .chain(far.sample(&mut random, remote))
+            .map(|record| Peer::from(*record))
+            .collect();
+        if peers.is_empty() {
+            let seeds = self.seeds.sample(&mut random, local + remote);
+            peers.extend(seeds.map(|address| Peer {
+                vm: None,
+                address: *address,
+            }));
+        }
+        peers
+    }
+
+    async fn call(&self, peer: Peer) {
+        if !lock(&self.busy).insert(peer.address) {
+            return;
+        }
+        let outcome = tokio::time::timeout(EXCHANGE_TIMEOUT, self.exchange(peer.address)).await;
+        lock(&self.busy).remove(&peer.address);
+        let cause = match outcome {
+            Ok(Ok(())) => return,
+            Ok(Err(error)) => error.to_string(),
+            Err(elapsed) => elapsed.to_string(),
+        };
+        event::debug(
+            "gossip_failed",
+            &[("peer", &peer.address), ("cause", &cause)],
+        );
+        lock(&self.links).remove(&peer.address);
+        if let Some(vm) = peer.vm {
+            self.board.members().note_unreachable(&vm);
+        }
+    }
+
+    async fn exchange(&self, address: net::SocketAddr) -> Result<(), link_error::LinkError> {
+        let known = lock(&self.links).get(&address).cloned();
+        let link = match known.filter(client::PeerClient::is_open) {
+            Some(link) => link,
+            None => {
+                let link = client::PeerClient::connect(&self.dialer, address, &self.hello).await?;
+                lock(&self.links).insert(address, link.clone());
+                link
+            }
+        };
+        let (mut writer, mut reader) = link.open(stream_kind::StreamKind::Gossip).await?;
+        writer.send(&self.digest()).await?;
+        let answer: gossip::GossipFrame = reader.expect().await?;
+        let (revision, wants) = (answer.rules_revision, answer.wants_tables);
+        self.take(answer);
+        let rules = self.board.rules().update_for(revision);
+        if rules.is_some() || wants {
+            let tables = wants.then(|| self.tables());
+            let frame = gossip::GossipFrame {
+                rules,
+                tables,
+                ..self.digest()
+            };
+            writer.send_last(&frame).await?;
+        } else {
+            writer.finish()?;
+        }
+        Ok(())
+    }
+
+    /// Answers a peer's exchange.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the link breaks.
+    pub async fn serve(&self, stream: server::PeerStream) -> Result<(), link_error::LinkError> {
+        let server::PeerStream {
+            mut reader,
+            mut writer,
+            ..
+        } = stream;
+        let outcome = self.answer(&mut reader, &mut writer);
+        tokio::time::timeout(EXCHANGE_TIMEOUT, outcome)
+            .await
+            .unwrap_or(Ok(()))
+    }
+
+    async fn answer(
+        &self,
+        reader: &mut frame_reader::FrameReader,
+        writer: &mut frame_writer::FrameWriter,
+    ) -> Result<(), link_error::LinkError> {
+        let asked: gossip::GossipFrame = reader.expect().await?;
+        let (revision, wants) = (asked.rules_revision, asked.wants_tables);
+        self.take(asked);
+        let frame = gossip::GossipFrame {
+            rules: self.board.rules().update_for(revision),
+            tables: wants.then(|| self.tables()),
+            ..self.digest()
+        };
+        writer.send_last(&frame).await?;
+        if let Some(more) = reader.next::<gossip::GossipFrame>().await? {
+            self.take(more);
+        }
+        Ok(())
+    }
+
+    fn digest(&self) -> gossip::GossipFrame {
+        let rules_revision = self.board.rules().current().revision;
+        let lacks_groups = self.board.groups().is_empty();
+        let members = self.board.members();
+        gossip::GossipFrame {
+            pulses: members.pulses(MAX_PULSES),
+            rules_revision,
+            wants_tables: lacks_groups || members.lacks_records(),
+            tables: None,
+            rules: None,
+        }
+    }
+
+    fn tables(&self) -> gossip::GossipTables {
+        gossip::GossipTables {
+            vms: self.board.members().records(),
+            groups: self.board.groups().clone(),
+        }
+    }
+
+    fn take(&self, frame: gossip::GossipFrame) {
+        let now = self.board.now();
+        if let Some(tables) = frame.tables {
+            self.board.members().take_records(tables.vms);
+            let mut groups = self.board.groups();
+            if groups.is_empty() {
+                *groups = tables.groups;
+            }
+        }
+        let mut members = self.board.members();
+        for pulse in frame.pulses {
+            if pulse.vm != self.board.own() {
+                members.take_pulse(pulse, now);
+            }
+        }
+        drop(members);
+        if let Some(update) = frame.rules {
+            let (outcome, revision) = {
+                let mut rules = self.board.rules();
+                (rules.take(update), rules.current().revision)
+            };
+            match outcome {
+                rule_log::TakeOutcome::Taken => event::info(
+                    "rules_in_force",
+                    &[("revision", &revision), ("from", &"peer")],
+                ),
+                rule_log::TakeOutcome::Broken(error) => {
+                    event::error("rules_broken", &[("cause", &error)]);
+                }
+                rule_log::TakeOutcome::Known | rule_log::TakeOutcome::Missing => {}
+            }
+        }
+        self.board.publish();
+    }
+}
+
+fn lock<T>(mutex: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(sync::PoisonError::into_inner)
+}
--- /dev/null
+++ b/src/keeper/group_supervisor.rs
@@ -0,0 +1,135 @@
+//! [`GroupSupervisor`]: keeps a worker for each group in which this keeper has a rank.
+
+use std::collections;
+use std::sync;
+use std::time;
+
+use crate::decide::{failover, lease};
+use crate::event;
+use crate::keeper::group_worker;
+use crate::model::{control_tables, group_spec, ids};
+use crate::rules::rule_set;
+
+/// Pause between two looks at the holders of leases and at the liveness of VMs.
+const CHECK_INTERVAL: time::Duration = time::Duration::from_millis(250);
+/// Moves that may wait for a worker.
+const MOVE_CAPACITY: usize = 8;
+
+#[derive(Debug)]
+struct RunningWorker {
+    assignments: tokio::sync::watch::Sender<group_worker::GroupAssignment>,
+    moves: tokio::sync::mpsc::Sender<group_worker::MoveRequest>,
+}
+
+/// Keeps the workers. Cheap to clone.
+#[derive(Clone, Debug)]
+pub struct GroupSupervisor {
+    context: group_worker::WorkerContext,
+    workers: sync::Arc<sync::Mutex<collections::BTreeMap<ids::GroupId, RunningWorker>>>,
+}
+
+impl GroupSupervisor {
+    /// Creates a supervisor without workers.
+    #[must_use]
+    pub fn new(context: group_worker::WorkerContext) -> Self {
+        Self {
+            context,
+            workers: sync::Arc::default(),
+        }
+    }
+
+    /// Follows the tables and the leases for good.
+    pub async fn run(self) {
+        let mut tables = self.context.board.follow();
+        loop {
+            let current = tables.borrow_and_update().clone();
+            self.reconcile(&current);
+            // A lapse of the timeout is the regular case: it picks up new holders.
+            drop(tokio::time::timeout(CHECK_INTERVAL, tables.changed()).await);
+        }
+    }
+
+    /// Moves the primary of a group that this keeper works on. `None` if it does not.
+    pub async fn move_primary(
+        &self,
+        group: &str,
+        target: Option<ids::UpstreamId>,
+    ) -> Option<failover::MoveOutcome> {
+        let moves = self.lock().get(group)?.moves.clone();
+        let (reply, outcome) = tokio::sync::oneshot::channel();
+        let request = group_worker::MoveRequest { target, reply };
+        moves.send(request).await.ok()?;
+        let lost = || failover::MoveOutcome::Failed("another request replaced this one".to_owned());
+        Some(outcome.await.unwrap_or_else(|_closed| lost()))
+    }
+
+    fn lock(&self) -> sync::MutexGuard<'_, collections::BTreeMap<ids::GroupId, RunningWorker>> {
+        self.workers
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
+    fn reconcile(&self, tables: &control_tables::ControlTables) {
+        let board = &self.context.board;
+        let holders = board.holders().clone();
+        // Rules that cannot be read drain nothing; the store holds only checked ones.
+        let rules = rule_set::RuleSet::parse(&tables.rules_text).unwrap_or_default();
+        let mut workers = self.lock();
+        let mut ranked = collections::BTreeSet::new();
+        for group in &tables.groups {
+            let holder = holders.get(&lease::shard_of(&group.group));
+            let order = lease::acting_order(&group.group, &tables.vms, holder.map(String::as_str));
+            let Some(rank) = order.iter().position(|vm| vm == board.own()) else {
+                continue;
+            };
+            ranked.insert(group.group.clone());
+            let assignment = group_worker::GroupAssignment {
+                group: group.clone(),
+                members: member_specs(group, tables, &rules),
+                rank,
+                holder: holder.cloned(),
+            };
+            if let Some(worker) = workers.get(&group.group) {
+                worker.assignments.send_if_modified(|current| {
+                    let changed = *current != assignment;
+                    *current = assignment;
+                    changed
+                });
+                continue;
+            }
+            event::info("group_ranked", &[("group", &group.group), ("rank", &rank)]);
+            let (assignments, receiver) = tokio::sync::watch::channel(assignment);
+            let (moves, requests) = tokio::sync::mpsc::channel(MOVE_CAPACITY);
+            tokio::spawn(group_worker::GroupWorker::run(
+                self.context.clone(),
+                receiver,
+                requests,
+            ));
+            workers.insert(group.group.clone(), RunningWorker { assignments, moves });
+        }
+        // Dropping its senders ends a worker.
+        workers.retain(|group, _| ranked.contains(group));
+    }
+}
+
+fn member_specs(
+    group: &group_spec::GroupSpec,
+    tables: &control_tables::ControlTables,
+    rules: &rule_set::RuleSet,
+) -> Vec<failover::MemberSpec> {
+    group
+        .upstreams
+        .iter()
+        .map(|spec| failover::MemberSpec {
+            upstream: spec.upstream.clone(),
+            address: spec.address,
+            leaving: spec.leaving || rules.drains_upstream(&spec.upstream),
+            data_centre: spec.data_centre.clone(),
+            local_vms: tables
+                .vms
+                .iter()
+                .filter(|vm| vm.data_centre == spec.data_centre && !vm.leaving)
+                .count(),
+        })
+        .collect()
+}
--- /dev/null
+++ b/src/keeper/lease_task.rs
@@ -0,0 +1,134 @@
+//! Keeps the VM's lease and takes shards of groups with it.
+
+use std::collections;
+use std::sync;
+use std::time;
+
+use crate::blackboard::control_board;
+use crate::decide::lease;
+use crate::event;
+use crate::platform::client;
+use crate::platform::{kv_entry, platform_error};
+use crate::shutdown;
+
+/// Renews and takes until the shutdown, then gives the lease up.
+///
+/// Each VM with a rank in some shard makes one read and, if it holds a shard, one write for each
+/// third of the time to live, whatever the number of its shards: 1.2 calls a second at 5 s.
+pub async fn run(
+    board: sync::Arc<control_board::ControlBoard>,
+    platform: client::PlatformClient,
+    ttl: time::Duration,
+    shutdown: shutdown::ShutdownSignal,
+) {
+    let mut task = LeaseTask {
+        board,
+        platform,
+        ttl,
+        lease: None,
+        taker: lease::ShardTaker::default(),
+        heard: time::Duration::ZERO,
+    };
+    loop {
+        if let Err(error) = task.turn().await {
+            event::debug("lease_call_failed", &[("cause", &error)]);
+            task.forget_lapsed();
+        }
+        let jitter = time::Duration::from_millis(rand::random_range(0..=50));
+        tokio::select! {
+            () = tokio::time::sleep(ttl / 3 + jitter) => {}
+            () = shutdown.wait() => break,
+        }
+    }
+    if let Some(id) = task.lease.take()
+        && let Err(error) = task.platform.revoke_lease(&id).await
+    {
+        event::warn("lease_not_revoked", &[("cause", &error)]);
+    }
+}
+
+struct LeaseTask {
+    board: sync::Arc<control_board::ControlBoard>,
+    platform: client::PlatformClient,
+    ttl: time::Duration,
+    lease: Option<String>,
+    taker: lease::ShardTaker,
+    heard: time::Duration,
+}
+
+impl LeaseTask {
+    async fn turn(&mut self) -> Result<(), platform_error::PlatformError> {
+        let now = self.board.now();
+        let vms = self.board.members().live_vms(now);
+        let ranked = (0..lease::SHARD_COUNT).any(|shard| {
+            lease::rank_keepers(&lease::shard_key(shard), &vms)
+                .iter()
+                .any(|vm| vm == self.board.own())
+        });
+        if !ranked && self.lease.is_none() {
+            return Ok(());
+        }
+        if let Some(id) = &self.lease {
+            match self.platform.renew_lease(id).await {
+                Ok(()) => {}
+                Err(platform_error::PlatformError::Refused { status: 404, .. }) => {
+                    event::warn("lease_lapsed", &[("lease", id)]);
+                    self.lease = None;
+                }
+                Err(error) => return Err(error),
+            }
+        }
+        let listing = self.platform.list(lease::LEASES_PREFIX).await?;
+        self.heard = now;
+        let mut holders = read_holders(&listing);
+        let wanted = self
+            .taker
+            .shards_to_take(self.board.own(), &vms, &holders, now, self.ttl / 2);
+        for shard in wanted {
+            let id = match &self.lease {
+                Some(id) => id.clone(),
+                None => {
+                    let grant = self.platform.grant_lease(self.ttl).await?;
+                    self.lease = Some(grant.id.clone());
+                    grant.id
+                }
+            };
+            let body = kv_entry::PutBody {
+                value: self.board.own().to_owned(),
+                expected: Some(0),
+                lease: Some(id),
+            };
+            match self.platform.put(&lease::shard_key(shard), &body).await {
+                Ok(_) => {
+                    holders.insert(shard, self.board.own().to_owned());
+                }
+                Err(platform_error::PlatformError::Conflict { current, .. }) => {
+                    if let Some(entry) = current {
+                        holders.insert(shard, entry.value);
+                    }
+                }
+                Err(error) => return Err(error),
+            }
+        }
+        *self.board.holders() = holders;
+        Ok(())
+    }
+
+    /// Forgets the holders once their leases must have lapsed, so that keepers act by rank alone.
+    fn forget_lapsed(&self) {
+        if self.board.now() > self.heard + self.ttl {
+            self.board.holders().clear();
+        }
+    }
+}
+
+fn read_holders(listing: &kv_entry::KvListing) -> collections::BTreeMap<u64, String> {
+    listing
+        .entries
+        .iter()
+        .filter_map(|entry| {
+            let shard = entry.key.strip_prefix("leases/shard-")?.parse().ok()?;
+            Some((shard, entry.value.clone()))
+        })
+        .collect()
+}
--- /dev/null
+++ b/src/keeper/settings.rs
@@ -0,0 +1,190 @@
+//! [`KeeperSettings`]: the settings file of `persimmon-keeper`. `samples/keeper.toml` explains it.
+
+use std::net;
+use std::time;
+
+use serde::Deserialize;
+
+use crate::decide::failover;
+use crate::model::ids;
+
+/// Account with which the keeper logs in to upstreams.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct UpstreamAccount {
+    /// User.
+    pub user: String,
+    /// Password.
+    pub password: String,
+}
+
+/// Times of probes and failover, all in milliseconds.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct FailoverSettings {
+    /// Time that an upstream may hold a probe while its state does not change.
+    pub probe_wait_ms: u64,
+    /// Time after which a second connection checks a probe that is still open.
+    pub recheck_ms: u64,
+    /// Silence after which an upstream counts as down.
+    pub silence_ms: u64,
+    /// Pause after a failed connect.
+    pub reconnect_ms: u64,
+    /// Time that each rank leaves to the one before it.
+    pub rank_delay_ms: u64,
+    /// Time that a candidate leaves to late answers.
+    pub settle_ms: u64,
+    /// Time after which a candidacy is given up.
+    pub candidacy_ms: u64,
+    /// Time that a candidate leaves to a competitor.
+    pub back_off_ms: u64,
+    /// Time after which an upstream that does not follow is told again.
+    pub follow_retry_ms: u64,
+    /// Time within which a planned move has to be done.
+    pub planned_ms: u64,
+}
+
+impl Default for FailoverSettings {
+    fn default() -> Self {
+        Self {
+            // Five probes a second of about 400 bytes to each upstream of a group, both ways, while
+            // nothing changes.
+            probe_wait_ms: 200,
+            recheck_ms: 320,
+            // A scheduling pause on a busy upstream VM stays below it, and the sum with two steps
+            // of a candidacy below 1.2 s.
+            silence_ms: 600,
+            reconnect_ms: 25,
+            rank_delay_ms: 250,
+            settle_ms: 60,
+            candidacy_ms: 600,
+            back_off_ms: 200,
+            follow_retry_ms: 1_000,
+            planned_ms: 5_000,
+        }
+    }
+}
+
+impl FailoverSettings {
+    /// Returns the times of the decisions.
+    #[must_use]
+    pub const fn times(&self) -> failover::FailoverTimes {
+        failover::FailoverTimes {
+            silence: time::Duration::from_millis(self.silence_ms),
+            rank_delay: time::Duration::from_millis(self.rank_delay_ms),
+            settle: time::Duration::from_millis(self.settle_ms),
+            candidacy: time::Duration::from_millis(self.candidacy_ms),
+            back_off: time::Duration::from_millis(self.back_off_ms),
+            follow_retry: time::Duration::from_millis(self.follow_retry_ms),
+            planned: time::Duration::from_millis(self.planned_ms),
+        }
+    }
+}
+
+/// Bounds of waits, all in milliseconds.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct LimitSettings {
+    /// Time for a connection or a call to another process or to the platform.
+    pub call_ms: u64,
+    /// Time between the announcement that the keeper leaves and its end.
+    pub drain_ms: u64,
+    /// Time to live of the VM's lease.
+    pub lease_ms: u64,
+}
+
+impl Default for LimitSettings {
+    fn default() -> Self {
+        Self {
+            call_ms: 1_000,
+            drain_ms: 1_000,
+            lease_ms: 5_000,
+        }
+    }
+}
+
+/// The settings file.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct KeeperSettings {
+    /// Name of the VM.
+    pub vm: ids::VmId,
+    /// Data centre of the VM.
+    pub data_centre: ids::DataCentreId,
+    /// Listener for our own processes.
+    pub link: net::SocketAddr,
+    /// Listener for metrics, readiness and liveness.
+    pub health: net::SocketAddr,
+    /// Local address of outgoing connections.
+    pub source: Option<net::IpAddr>,
+    /// Address of the platform.
+    pub platform: net::SocketAddr,
+    /// Keepers to start from while the platform is down.
+    #[serde(default)]
+    pub peers: Vec<net::SocketAddr>,
+    /// Account on the upstreams.
+    pub upstream: UpstreamAccount,
+    /// Times of probes and failover.
+    #[serde(default)]
+    pub failover: FailoverSettings,
+    /// Bounds of waits.
+    #[serde(default)]
+    pub limits: LimitSettings,
+}
+
+impl KeeperSettings {
+    /// Reads a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Returns a text that names the file, the place, and what was expected there.
+    pub fn load(path: &str) -> Result<Self, String> {
+        let text = std::fs::read_to_string(path).map_err(|error| format!("{path}: {error}"))?;
+        Self::parse(&text).map_err(|error| format!("{path}: {error}"))
+    }
+
+    /// Parses and checks the text of a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Returns a text that names the key, its value and what was expected.
+    pub fn parse(text: &str) -> Result<Self, String> {
+        let settings: Self = toml::from_str(text).map_err(|error| error.to_string())?;
+        settings.check()?;
+        Ok(settings)
+    }
+
+    fn check(&self) -> Result<(), String> {
+        for (key, value) in [("vm", &self.vm), ("data_centre", &self.data_centre)] {
+            if value.trim().is_empty() {
+                return Err(format!("{key} = {value:?}: expected a name"));
+            }
+        }
+        let times = &self.failover;
+        for (key, value, least, reason) in [
+            ("failover.probe_wait_ms", times.probe_wait_ms, 10, "10 ms"),
+            (
+                "failover.recheck_ms",
+                times.recheck_ms,
+                times.probe_wait_ms + 1,
+                "more than failover.probe_wait_ms",
+            ),
+            (
+                "failover.silence_ms",
+                times.silence_ms,
+                times.recheck_ms + 1,
+                "more than failover.recheck_ms",
+            ),
+            ("failover.reconnect_ms", times.reconnect_ms, 5, "5 ms"),
+            ("failover.candidacy_ms", times.candidacy_ms, 50, "50"),
+            ("failover.planned_ms", times.planned_ms, 100, "100"),
+            ("limits.call_ms", self.limits.call_ms, 10, "10 ms"),
+            ("limits.lease_ms", self.limits.lease_ms, 100, "100"),
+        ] {
+            if value < least {
+                return Err(format!("{key} = {value}: expected at least {reason}"));
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/keeper/tables_stream.rs
@@ -0,0 +1,47 @@
+//! Feeds the entry and the pool on the keeper's VM.
+
+use std::sync;
+
+use crate::blackboard::control_board;
+use crate::link::{link_error, program_report, server};
+
+/// Serves one `Tables` stream: sends the tables at each change and takes the program's reports.
+///
+/// # Errors
+///
+/// Fails if the link breaks.
+pub async fn serve(
+    board: sync::Arc<control_board::ControlBoard>,
+    stream: server::PeerStream,
+) -> Result<(), link_error::LinkError> {
+    let server::PeerStream {
+        greeting,
+        mut reader,
+        mut writer,
+        ..
+    } = stream;
+    let program = greeting.program.clone();
+    let mut tables = board.follow();
+    // An empty table would make the program forget what it knows from an earlier keeper.
+    let send = async {
+        loop {
+            let current = tables.borrow_and_update().clone();
+            if !current.groups.is_empty() {
+                writer.send(&*current).await?;
+            }
+            if tables.changed().await.is_err() {
+                return Ok(());
+            }
+        }
+    };
+    let receive = async {
+        while let Some(report) = reader.next::<program_report::ProgramReport>().await? {
+            board.programs().insert(program.clone(), report);
+        }
+        Ok(())
+    };
+    tokio::select! {
+        sent = send => sent,
+        received = receive => received,
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,12 +4,14 @@
 //! The library holds everything the four programs share. Start with `docs/design.md` for the
 //! processes, their messages and the state each of them owns.
 
+pub mod blackboard;
 pub mod counters;
 pub mod decide;
 pub mod dial;
 pub mod event;
 pub mod exit_code;
 pub mod health;
+pub mod keeper;
 pub mod link;
 pub mod model;
 pub mod platform;
