--- a/src/decide/failover.rs
+++ b/src/decide/failover.rs
@@ -145,6 +145,7 @@
     unsettled_since: Option<time::Duration>,
     not_before: time::Duration,
     planned: Option<PlannedMove>,
+    move_wanted: Option<time::Duration>,
     outcome: Option<MoveOutcome>,
 }
 
@@ -162,6 +163,7 @@
             unsettled_since: None,
             not_before: time::Duration::ZERO,
             planned: None,
+            move_wanted: None,
             outcome: None,
         }
     }
@@ -496,7 +498,20 @@
         let primary_view = self.members.get(&primary);
         let leaving = primary_view.is_some_and(|view| view.spec.leaving);
         let old_centre = primary_view.map(|view| view.spec.data_centre.clone());
-        if self.planned.is_none() && !(leaving && self.rank == 0) || now < self.not_before {
+        let primary_held = primary_view.and_then(|view| Some(view.state.as_ref()?.held));
+        if self.planned.is_none() && !leaving {
+            self.move_wanted = None;
+            return Vec::new();
+        }
+        let wanted = *self.move_wanted.get_or_insert(now);
+        let rank = u32::try_from(self.rank).unwrap_or(u32::MAX);
+        // Only the keeper that was asked works on an operator's request. A primary that leaves is
+        // moved by the first in rank, and by the others if that does not happen.
+        let patience = match self.planned {
+            Some(_) => time::Duration::ZERO,
+            None => self.times.planned.saturating_mul(rank),
+        };
+        if now < self.not_before.max(wanted + patience) {
             return Vec::new();
         }
         let named = self
@@ -532,7 +547,11 @@
         let Some((target, _, held)) = target else {
             return Vec::new();
         };
-        if *held < highest || others.len() < self.majority() {
+        // Waits for a replica that has everything, so that no unacknowledged write is dropped. A
+        // primary that is written to without a pause may never show that, hence the bound.
+        let lag_allowed = now >= wanted + patience + self.times.planned / 2;
+        let caught_up = primary_held.is_none_or(|head| *held >= head);
+        if *held < highest || !(caught_up || lag_allowed) || others.len() < self.majority() {
             return Vec::new();
         }
         let target = target.clone();
