--- /dev/null
+++ b/tests/membership.rs
@@ -0,0 +1,200 @@
+//! Liveness of VMs from heartbeats and the platform's list, and the order of keepers.
+
+use std::collections;
+use std::time;
+
+use persimmontack::decide::{lease, membership};
+use persimmontack::model::vm_record;
+
+fn record(number: usize) -> vm_record::VmRecord {
+    let address = ([127, 0, 1, number as u8], 7_000).into();
+    vm_record::VmRecord {
+        vm: format!("vm-{number}"),
+        data_centre: format!("dc-{}", number % 3),
+        leaving: false,
+        keeper: address,
+        pool: address,
+        entry: address,
+    }
+}
+
+fn records(count: usize) -> Vec<vm_record::VmRecord> {
+    (0..count).map(record).collect()
+}
+
+fn pulse(number: usize, start: u64, heartbeat: u64) -> membership::MemberPulse {
+    membership::MemberPulse {
+        vm: format!("vm-{number}"),
+        start,
+        heartbeat,
+        leaving: false,
+        revisions: membership::RevisionSet::default(),
+    }
+}
+
+fn names(table: &membership::MemberTable, now: time::Duration) -> Vec<String> {
+    table.live_vms(now).into_iter().map(|vm| vm.vm).collect()
+}
+
+const MOMENT: time::Duration = time::Duration::from_millis(1);
+
+/// Guards against a dead VM that keeps its upstreams, and a returned one that gets none.
+#[test]
+fn a_silent_vm_is_dead_until_it_moves_again() {
+    let mut table = membership::MemberTable::new("vm-0".to_owned());
+    table.take_list(records(2), time::Duration::ZERO);
+    table.take_pulse(pulse(1, 1, 1), time::Duration::ZERO);
+    assert_eq!(
+        names(&table, membership::DEAD_AFTER - MOMENT),
+        ["vm-0", "vm-1"]
+    );
+    assert_eq!(names(&table, membership::DEAD_AFTER), ["vm-0"]);
+    // A repeat of the last heartbeat is no sign of life.
+    assert!(!table.take_pulse(pulse(1, 1, 1), membership::DEAD_AFTER));
+    assert_eq!(names(&table, membership::DEAD_AFTER), ["vm-0"]);
+    // A restarted keeper counts from 1 again, with a later start.
+    assert!(table.take_pulse(pulse(1, 2, 1), membership::DEAD_AFTER));
+    assert_eq!(names(&table, membership::DEAD_AFTER), ["vm-0", "vm-1"]);
+}
+
+/// Guards against a list that lags: it must not remove a VM that is heard, nor vouch for one that
+/// was never heard once the list itself is old or the VM is found unreachable.
+#[test]
+fn a_lagging_list_neither_removes_nor_revives() {
+    let mut table = membership::MemberTable::new("vm-0".to_owned());
+    table.take_list(records(3), time::Duration::ZERO);
+    table.take_pulse(pulse(1, 1, 1), time::Duration::ZERO);
+    table.take_list(vec![record(0), record(2)], MOMENT);
+    assert_eq!(names(&table, MOMENT), ["vm-0", "vm-1", "vm-2"]);
+    table.note_unreachable("vm-2");
+    assert_eq!(names(&table, MOMENT), ["vm-0", "vm-1"]);
+    table.take_list(records(4), MOMENT);
+    assert_eq!(names(&table, MOMENT), ["vm-0", "vm-1", "vm-3"]);
+    assert_eq!(names(&table, MOMENT + membership::LIST_FRESH_FOR), ["vm-0"]);
+}
+
+/// Guards against a keeper that knows its peers only from a peer, with the platform down.
+#[test]
+fn records_of_a_peer_serve_when_there_is_no_list() {
+    let mut table = membership::MemberTable::new("vm-0".to_owned());
+    table.take_pulse(pulse(1, 1, 1), MOMENT);
+    assert!(table.lacks_records());
+    table.take_records(records(2));
+    assert!(!table.lacks_records());
+    assert_eq!(names(&table, MOMENT), ["vm-0", "vm-1"]);
+}
+
+/// Guards against members that keepers see differently for good after losses, and against a
+/// stopped VM that gossip keeps alive by passing its last heartbeat around.
+#[test]
+fn keepers_agree_on_the_living_after_losses() {
+    arbtest::arbtest(|u| {
+        let count = 5;
+        let mut now = time::Duration::ZERO;
+        let mut tables: Vec<_> = (0..count)
+            .map(|number| {
+                let mut table = membership::MemberTable::new(format!("vm-{number}"));
+                table.take_list(records(count), now);
+                table
+            })
+            .collect();
+        let mut heartbeat = 0;
+        let stopped: collections::BTreeSet<usize> = (0..count - 1)
+            .filter(|_| u.ratio(1, 3).unwrap_or(false))
+            .collect();
+        let mut exchange =
+            |u: &mut arbtest::arbitrary::Unstructured<'_>, lossy: bool, stop: bool| {
+                now += time::Duration::from_millis(200);
+                heartbeat += 1;
+                let lives = |vm: &usize| !stop || !stopped.contains(vm);
+                for number in (0..count).filter(lives) {
+                    tables[number].take_pulse(pulse(number, 1, heartbeat), now);
+                }
+                for from in (0..count).filter(lives) {
+                    for to in (0..count).filter(lives).filter(|to| *to != from) {
+                        if lossy && u.ratio(1, 2)? {
+                            continue;
+                        }
+                        for pulse in tables[from].pulses(48) {
+                            tables[to].take_pulse(pulse, now);
+                        }
+                    }
+                }
+                Ok::<_, arbtest::arbitrary::Error>((now, tables.clone()))
+            };
+        for _ in 0..u.int_in_range(0..=20)? {
+            exchange(u, true, false)?;
+        }
+        let mut last = exchange(u, false, true)?;
+        for _ in 0..6 {
+            last = exchange(u, false, true)?;
+        }
+        // A VM that stopped before it was ever heard is found unreachable by its peers.
+        let (now, mut tables) = last;
+        let expected: Vec<_> = (0..count)
+            .filter(|vm| !stopped.contains(vm))
+            .map(|vm| format!("vm-{vm}"))
+            .collect();
+        for number in (0..count).filter(|vm| !stopped.contains(vm)) {
+            for vm in &stopped {
+                tables[number].note_unreachable(&format!("vm-{vm}"));
+            }
+            assert_eq!(names(&tables[number], now), expected, "on vm-{number}");
+        }
+        Ok(())
+    });
+}
+
+/// Guards against frames that grow with the deployment, and that leave out the newest news.
+#[test]
+fn pulses_are_bounded_and_the_newest_come_first() {
+    let mut table = membership::MemberTable::new("vm-0".to_owned());
+    for number in 1..100 {
+        table.take_pulse(pulse(number, 1, 1), MOMENT);
+    }
+    table.take_pulse(pulse(50, 1, 2), MOMENT * 2);
+    let pulses = table.pulses(8);
+    assert_eq!(pulses.len(), 8);
+    assert_eq!(pulses[0].vm, "vm-50");
+}
+
+/// Guards against ranked keepers that share a data centre while others have none, and against an
+/// order in which the holder of the lease is not the first.
+#[test]
+fn keepers_are_ranked_in_distinct_data_centres_and_the_holder_goes_first() {
+    let vms = records(8);
+    for group in ["ledger", "index", "proofs", "orders"] {
+        let order = lease::acting_order(group, &vms, None);
+        let centres: collections::BTreeSet<_> = vms
+            .iter()
+            .filter(|vm| order.contains(&vm.vm))
+            .map(|vm| &vm.data_centre)
+            .collect();
+        assert_eq!(order.len(), 3);
+        assert_eq!(centres.len(), 3);
+        let holder = order[2].clone();
+        assert_eq!(lease::acting_order(group, &vms, Some(&holder))[0], holder);
+    }
+}
+
+/// Guards against shards that nobody takes, or that every ranked keeper takes at once.
+#[test]
+fn each_free_shard_is_taken_by_one_keeper_and_by_the_next_after_a_while() {
+    let vms = records(6);
+    let patience = time::Duration::from_secs(2);
+    let free = collections::BTreeMap::new();
+    let mut takers: Vec<_> = vms
+        .iter()
+        .map(|vm| (vm.vm.as_str(), lease::ShardTaker::default()))
+        .collect();
+    let mut taken = |now| -> Vec<u64> {
+        takers
+            .iter_mut()
+            .flat_map(|(vm, taker)| taker.shards_to_take(vm, &vms, &free, now, patience))
+            .collect()
+    };
+    let mut first = taken(time::Duration::ZERO);
+    first.sort_unstable();
+    assert_eq!(first, (0..lease::SHARD_COUNT).collect::<Vec<_>>());
+    assert_eq!(taken(patience).len() as u64, 2 * lease::SHARD_COUNT);
+}
