Add the pool: work, feed and observe streams, queue and upstream connections

The pool had no program. It compiles, checks its settings, binds its listeners and stops on SIGTERM; units against an upstream are not tried yet.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -1,4 +1,11 @@
 //! Pure decisions: typed events and the time go in, actions come out. Nothing here has a socket, a
 //! clock or a random source, so that tests and the load program can drive it.
 
+pub mod customer_lane;
+pub mod customer_terms;
 pub mod ownership;
+pub mod queue;
+pub mod running_batches;
+pub mod schedule_event;
+pub mod schedule_limits;
+pub mod slot_times;
--- /dev/null
+++ b/src/decide/slot_times.rs
@@ -0,0 +1,85 @@
+//! [`SlotTimes`]: learned slot times of statements.
+
+use std::collections;
+use std::mem;
+use std::time;
+
+use crate::model::ids;
+
+/// Fingerprints in one of the two generations. It bounds the table at twice this number.
+const GENERATION_SIZE: usize = 2_048;
+/// Weight of the newest measurement in the mean.
+const NEWEST_WEIGHT: f64 = 0.2;
+/// Assumed slot time before anything is measured.
+const INITIAL_MEAN: time::Duration = time::Duration::from_millis(2);
+
+/// Exponentially weighted means of the slot time by fingerprint. A fingerprint that is not seen
+/// for a whole generation is forgotten.
+#[derive(Clone, Debug)]
+pub struct SlotTimes {
+    current: collections::HashMap<ids::FingerprintId, f64>,
+    previous: collections::HashMap<ids::FingerprintId, f64>,
+    overall: f64,
+}
+
+impl Default for SlotTimes {
+    fn default() -> Self {
+        Self {
+            current: collections::HashMap::new(),
+            previous: collections::HashMap::new(),
+            overall: INITIAL_MEAN.as_secs_f64(),
+        }
+    }
+}
+
+impl SlotTimes {
+    /// Returns the mean slot time of a fingerprint, once measured.
+    #[must_use]
+    pub fn mean(&self, fingerprint: ids::FingerprintId) -> Option<time::Duration> {
+        self.current
+            .get(&fingerprint)
+            .or_else(|| self.previous.get(&fingerprint))
+            .map(|mean| time::Duration::from_secs_f64(*mean))
+    }
+
+    /// Returns the expected slot time: that of the fingerprint, or of all work.
+    #[must_use]
+    pub fn expected(&self, fingerprint: ids::FingerprintId) -> time::Duration {
+        self.mean(fingerprint)
+            .unwrap_or_else(|| time::Duration::from_secs_f64(self.overall))
+    }
+
+    /// Takes a measurement in.
+    pub fn record(&mut self, fingerprint: ids::FingerprintId, slot_time: time::Duration) {
+        let seconds = slot_time.as_secs_f64();
+        self.overall += NEWEST_WEIGHT * (seconds - self.overall);
+        self.update(
+            fingerprint,
+            |mean| mean + NEWEST_WEIGHT * (seconds - mean),
+            seconds,
+        );
+    }
+
+    /// Notes that a statement has already run for `elapsed`, which is a lower bound of its time.
+    pub fn raise(&mut self, fingerprint: ids::FingerprintId, elapsed: time::Duration) {
+        let seconds = elapsed.as_secs_f64();
+        self.update(fingerprint, |mean| mean.max(seconds), seconds);
+    }
+
+    fn update(
+        &mut self,
+        fingerprint: ids::FingerprintId,
+        change: impl FnOnce(f64) -> f64,
+        first: f64,
+    ) {
+        let known = self
+            .current
+            .get(&fingerprint)
+            .or_else(|| self.previous.get(&fingerprint));
+        let mean = known.map_or(first, |mean| change(*mean));
+        if self.current.len() >= GENERATION_SIZE && !self.current.contains_key(&fingerprint) {
+            self.previous = mem::take(&mut self.current);
+        }
+        self.current.insert(fingerprint, mean);
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,5 +13,6 @@
 pub mod link;
 pub mod model;
 pub mod platform;
+pub mod pool;
 pub mod rules;
 pub mod shutdown;
--- /dev/null
+++ b/src/pool/daemon.rs
@@ -0,0 +1,92 @@
+//! Starts and stops `persimmon-pool`.
+
+use std::net;
+use std::sync;
+use std::time;
+
+use crate::link::{hello, server, stream_kind};
+use crate::pool::{feed, pool_settings, postgres_edge, tables_client, upstream_table, work};
+use crate::{dial, event, exit_code, health, shutdown};
+
+/// Runs the pool until it is told to stop.
+///
+/// # Errors
+///
+/// Returns a text that names the step that failed.
+pub async fn run(settings: pool_settings::PoolSettings) -> Result<exit_code::ExitCode, String> {
+    let signal = shutdown::ShutdownSignal::from_process()
+        .map_err(|error| format!("cannot handle signals: {error}"))?;
+    let settings = sync::Arc::new(settings);
+    let dialer = dial::TcpDialer {
+        source: settings.source,
+        timeout: settings.limits.connect(),
+    };
+    let ready = health::ReadyFlag::default();
+    let health_address = health::start(settings.health, ready.clone())
+        .await
+        .map_err(|error| format!("cannot listen on health = {}: {error}", settings.health))?;
+    announce("health", health_address);
+    let listener = tokio::net::TcpListener::bind(settings.link)
+        .await
+        .map_err(|error| format!("cannot listen on link = {}: {error}", settings.link))?;
+    let link_address = listener
+        .local_addr()
+        .map_err(|error| format!("cannot listen on link = {}: {error}", settings.link))?;
+    announce("link", link_address);
+    let edge = sync::Arc::new(postgres_edge::PostgresEdge::new(
+        dialer,
+        settings.upstream.clone(),
+    ));
+    let table = sync::Arc::new(upstream_table::UpstreamTable::new(
+        sync::Arc::clone(&settings),
+        edge,
+        ready,
+    ));
+    let hello = hello::Hello::new(&settings.vm, "persimmon-pool");
+    let server = server::PeerServer::new(listener, hello);
+    let served = sync::Arc::clone(&table);
+    let server = tokio::spawn(server.run(move |stream| serve(sync::Arc::clone(&served), stream)));
+    let tables = tokio::spawn(tables_client::run(
+        sync::Arc::clone(&settings),
+        dialer,
+        sync::Arc::clone(&table),
+    ));
+    event::info(
+        "started",
+        &[("program", &"persimmon-pool"), ("vm", &settings.vm)],
+    );
+    signal.wait().await;
+    event::info("stopping", &[]);
+    table.stop();
+    let limit = time::Duration::from_millis(settings.limits.stop_ms);
+    let idle = tokio::time::timeout(limit, table.wait_idle()).await;
+    event::info("stopped", &[("units_cut_off", &idle.is_err())]);
+    server.abort();
+    tables.abort();
+    Ok(exit_code::ExitCode::Success)
+}
+
+fn announce(what: &str, address: net::SocketAddr) {
+    event::info("listening", &[("what", &what), ("address", &address)]);
+}
+
+async fn serve(table: sync::Arc<upstream_table::UpstreamTable>, mut stream: server::PeerStream) {
+    let peer = stream.greeting.vm.clone();
+    let result = match stream.kind {
+        stream_kind::StreamKind::Work => {
+            work::serve(table, stream).await;
+            Ok(())
+        }
+        stream_kind::StreamKind::Feed => feed::serve_feed(&table, stream).await,
+        stream_kind::StreamKind::Observe => feed::serve_observe(&table, stream).await,
+        stream_kind::StreamKind::Tables
+        | stream_kind::StreamKind::Gossip
+        | stream_kind::StreamKind::Control => {
+            stream.writer.abort();
+            Ok(())
+        }
+    };
+    if let Err(error) = result {
+        event::debug("stream_closed", &[("vm", &peer), ("cause", &error)]);
+    }
+}
--- /dev/null
+++ b/src/pool/slot_queue.rs
@@ -0,0 +1,246 @@
+//! [`SlotQueue`]: the queue of an upstream, shared by the tasks of its units.
+
+use std::collections;
+use std::mem;
+use std::sync;
+use std::time;
+
+use crate::decide::{customer_lane, queue, schedule_event, schedule_limits};
+use crate::model::{ids, refusal_reason};
+use crate::rules::rule_set;
+
+/// Time between two checks of deadlines and running times while there is work.
+const CHECK_INTERVAL: time::Duration = time::Duration::from_millis(10);
+
+type GrantResult = Result<(), refusal_reason::RefusalReason>;
+
+#[derive(Debug)]
+struct QueueState {
+    schedule: queue::SlotSchedule,
+    waiters:
+        collections::HashMap<customer_lane::QueueTicket, tokio::sync::oneshot::Sender<GrantResult>>,
+    next_ticket: customer_lane::QueueTicket,
+}
+
+/// The queue of an upstream, shared by the tasks of its units.
+#[derive(Debug)]
+pub struct SlotQueue {
+    state: sync::Mutex<QueueState>,
+    start: tokio::time::Instant,
+    work: tokio::sync::Notify,
+}
+
+/// A slot that a batch holds. Dropping it frees the slot and the unit.
+#[derive(Debug)]
+pub struct SlotGuard {
+    queue: sync::Arc<SlotQueue>,
+    armed: bool,
+    ticket: customer_lane::QueueTicket,
+}
+
+/// The share of a unit in the connections, held between the batches of a transaction.
+#[derive(Debug)]
+pub struct UnitGuard {
+    queue: sync::Arc<SlotQueue>,
+    armed: bool,
+}
+
+/// A batch that waits; dropping it gives the batch up.
+struct WaitGuard<'a> {
+    queue: &'a SlotQueue,
+    ticket: customer_lane::QueueTicket,
+    keeps_unit: bool,
+}
+
+impl SlotQueue {
+    /// Creates an empty queue.
+    #[must_use]
+    pub fn new(limits: schedule_limits::ScheduleLimits) -> Self {
+        Self {
+            state: sync::Mutex::new(QueueState {
+                schedule: queue::SlotSchedule::new(limits),
+                waiters: collections::HashMap::new(),
+                next_ticket: 0,
+            }),
+            start: tokio::time::Instant::now(),
+            work: tokio::sync::Notify::new(),
+        }
+    }
+
+    /// Waits for a slot. `unit` is given for a batch of an open transaction. Dropping the future
+    /// gives the batch up.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason of a refusal.
+    pub async fn acquire(
+        self: &sync::Arc<Self>,
+        mut arrival: schedule_event::BatchArrival,
+        unit: Option<UnitGuard>,
+    ) -> Result<SlotGuard, refusal_reason::RefusalReason> {
+        arrival.in_transaction = unit.is_some();
+        let (ticket, receiver) = {
+            let mut state = self.lock();
+            state.next_ticket += 1;
+            let ticket = state.next_ticket;
+            arrival.ticket = ticket;
+            let mut actions = state.schedule.arrive(arrival, self.now());
+            let own = actions.iter().position(|action| match action {
+                schedule_event::ScheduleAction::Grant(granted) => *granted == ticket,
+                schedule_event::ScheduleAction::Refuse(refused, _) => *refused == ticket,
+            });
+            let own = own.map(|place| actions.swap_remove(place));
+            state.deliver(actions);
+            let receiver = match own {
+                Some(schedule_event::ScheduleAction::Refuse(_, reason)) => return Err(reason),
+                Some(schedule_event::ScheduleAction::Grant(_)) => None,
+                None => {
+                    let (sender, receiver) = tokio::sync::oneshot::channel();
+                    state.waiters.insert(ticket, sender);
+                    Some(receiver)
+                }
+            };
+            (ticket, receiver)
+        };
+        self.work.notify_one();
+        if let Some(receiver) = receiver {
+            let wait = WaitGuard {
+                queue: self,
+                ticket,
+                keeps_unit: unit.is_some(),
+            };
+            let result = receiver.await;
+            mem::forget(wait);
+            result.unwrap_or(Err(refusal_reason::RefusalReason::Stopping))?;
+        }
+        if let Some(mut unit) = unit {
+            // The slot carries the unit until the batch has finished.
+            unit.armed = false;
+        }
+        Ok(SlotGuard {
+            queue: sync::Arc::clone(self),
+            armed: true,
+            ticket,
+        })
+    }
+
+    /// Lets time pass for the queue for as long as the future is polled.
+    pub async fn run_clock(&self) {
+        loop {
+            let idle = {
+                let mut state = self.lock();
+                let now = self.now();
+                let actions = state.schedule.advance(now);
+                state.deliver(actions);
+                state.schedule.waiting() == 0 && state.schedule.running() == 0
+            };
+            if idle {
+                self.work.notified().await;
+            }
+            tokio::time::sleep(CHECK_INTERVAL).await;
+        }
+    }
+
+    /// Puts rules in force.
+    pub fn set_rules(&self, rules: &rule_set::RuleSet) {
+        self.lock().schedule.set_rules(rules);
+    }
+
+    /// Puts limits in force.
+    pub fn set_limits(&self, limits: schedule_limits::ScheduleLimits) {
+        self.lock().schedule.set_limits(limits);
+    }
+
+    /// Returns waiting batches, running batches and the estimated wait.
+    #[must_use]
+    pub fn load(&self) -> (usize, usize, time::Duration) {
+        let state = self.lock();
+        (
+            state.schedule.waiting(),
+            state.schedule.running(),
+            state.schedule.estimate_wait(),
+        )
+    }
+
+    /// Returns the mean slot time of a statement, once measured.
+    #[must_use]
+    pub fn learned(&self, fingerprint: ids::FingerprintId) -> Option<time::Duration> {
+        self.lock().schedule.learned(fingerprint)
+    }
+
+    fn apply(
+        &self,
+        event: impl FnOnce(
+            &mut queue::SlotSchedule,
+            time::Duration,
+        ) -> Vec<schedule_event::ScheduleAction>,
+    ) {
+        let mut state = self.lock();
+        let actions = event(&mut state.schedule, self.now());
+        state.deliver(actions);
+    }
+
+    fn now(&self) -> time::Duration {
+        self.start.elapsed()
+    }
+
+    fn lock(&self) -> sync::MutexGuard<'_, QueueState> {
+        self.state
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+}
+
+impl QueueState {
+    fn deliver(&mut self, actions: Vec<schedule_event::ScheduleAction>) {
+        for action in actions {
+            let (ticket, result) = match action {
+                schedule_event::ScheduleAction::Grant(ticket) => (ticket, Ok(())),
+                schedule_event::ScheduleAction::Refuse(ticket, reason) => (ticket, Err(reason)),
+            };
+            if let Some(sender) = self.waiters.remove(&ticket) {
+                // A waiter that is gone gives its batch up by itself.
+                let _unheard = sender.send(result);
+            }
+        }
+    }
+}
+
+impl SlotGuard {
+    /// Frees the slot. With `keeps_unit`, the transaction is still open.
+    #[must_use]
+    pub fn finish(mut self, keeps_unit: bool) -> Option<UnitGuard> {
+        self.armed = false;
+        self.queue
+            .apply(|schedule, now| schedule.finish(self.ticket, keeps_unit, now));
+        keeps_unit.then(|| UnitGuard {
+            queue: sync::Arc::clone(&self.queue),
+            armed: true,
+        })
+    }
+}
+
+impl Drop for SlotGuard {
+    fn drop(&mut self) {
+        if self.armed {
+            self.queue
+                .apply(|schedule, now| schedule.finish(self.ticket, false, now));
+        }
+    }
+}
+
+impl Drop for UnitGuard {
+    fn drop(&mut self) {
+        if self.armed {
+            self.queue.apply(queue::SlotSchedule::release_unit);
+        }
+    }
+}
+
+impl Drop for WaitGuard<'_> {
+    fn drop(&mut self) {
+        self.queue.lock().waiters.remove(&self.ticket);
+        self.queue
+            .apply(|schedule, now| schedule.give_up(self.ticket, self.keeps_unit, now));
+    }
+}
--- /dev/null
+++ b/src/pool/upstream_table.rs
@@ -0,0 +1,210 @@
+//! [`UpstreamTable`]: the upstreams, rules and stop state that all streams of a pool share.
+
+use std::collections;
+use std::sync;
+use std::sync::atomic;
+
+use crate::decide::ownership;
+use crate::event;
+use crate::link::program_report;
+use crate::model::{control_tables, ids};
+use crate::pool::{pool_settings, upstream, upstream_edge};
+use crate::rules::rule_set;
+use crate::{counters, health};
+
+type UpstreamMap = collections::HashMap<ids::UpstreamId, sync::Arc<upstream::Upstream>>;
+
+/// The upstreams, rules and stop state that all streams of a pool share.
+pub struct UpstreamTable {
+    settings: sync::Arc<pool_settings::PoolSettings>,
+    edge: sync::Arc<dyn upstream_edge::UpstreamEdge>,
+    upstreams: arc_swap::ArcSwap<UpstreamMap>,
+    revision: atomic::AtomicU64,
+    rules: arc_swap::ArcSwap<rule_set::RuleSet>,
+    changes: tokio::sync::watch::Sender<u64>,
+    leaving: atomic::AtomicBool,
+    stopping: atomic::AtomicBool,
+    units: tokio::sync::watch::Sender<u64>,
+    ready: health::ReadyFlag,
+}
+
+impl std::fmt::Debug for UpstreamTable {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter
+            .debug_struct("UpstreamTable")
+            .finish_non_exhaustive()
+    }
+}
+
+/// Counts a unit of work as open until it is dropped.
+#[derive(Debug)]
+pub struct OpenUnit {
+    table: sync::Arc<UpstreamTable>,
+}
+
+impl UpstreamTable {
+    /// Creates an empty table.
+    #[must_use]
+    pub fn new(
+        settings: sync::Arc<pool_settings::PoolSettings>,
+        edge: sync::Arc<dyn upstream_edge::UpstreamEdge>,
+        ready: health::ReadyFlag,
+    ) -> Self {
+        Self {
+            settings,
+            edge,
+            upstreams: arc_swap::ArcSwap::default(),
+            revision: atomic::AtomicU64::new(0),
+            rules: arc_swap::ArcSwap::default(),
+            changes: tokio::sync::watch::Sender::new(0),
+            leaving: atomic::AtomicBool::new(false),
+            stopping: atomic::AtomicBool::new(false),
+            units: tokio::sync::watch::Sender::new(0),
+            ready,
+        }
+    }
+
+    /// Puts control tables in force. Rules that are older or not valid leave the earlier ones in
+    /// force.
+    pub fn apply(&self, tables: &control_tables::ControlTables) {
+        if tables.rules_revision >= self.revision.load(atomic::Ordering::Acquire) {
+            match rule_set::RuleSet::parse(&tables.rules_text) {
+                Ok(rules) => {
+                    self.rules.store(sync::Arc::new(rules));
+                    self.revision
+                        .store(tables.rules_revision, atomic::Ordering::Release);
+                }
+                Err(errors) => {
+                    for error in errors {
+                        let revision = &tables.rules_revision;
+                        event::error(
+                            "rules_invalid",
+                            &[("revision", revision), ("cause", &error)],
+                        );
+                    }
+                }
+            }
+        }
+        let rules = self.rules.load_full();
+        let mut vms = tables.vms.clone();
+        for vm in &mut vms {
+            vm.leaving |= rules.drains_vm(&vm.vm);
+        }
+        let current = self.upstreams.load_full();
+        let mut next = UpstreamMap::new();
+        for group in &tables.groups {
+            let database = group.databases.first().cloned().unwrap_or_default();
+            for spec in &group.upstreams {
+                let known = current
+                    .get(&spec.upstream)
+                    .filter(|known| known.spec == *spec && known.database == database);
+                let upstream = known.cloned().unwrap_or_else(|| {
+                    sync::Arc::new(upstream::Upstream::new(
+                        spec.clone(),
+                        database.clone(),
+                        sync::Arc::clone(&self.edge),
+                        sync::Arc::clone(&self.settings),
+                        self.changes.clone(),
+                    ))
+                });
+                let owner = ownership::rank_owners(spec, &vms);
+                let owned = owner.first().is_some_and(|vm| vm.vm == self.settings.vm);
+                upstream.configure(owned, &rules);
+                next.insert(spec.upstream.clone(), upstream);
+            }
+        }
+        for (name, upstream) in current.iter() {
+            if next
+                .get(name)
+                .is_none_or(|kept| !sync::Arc::ptr_eq(kept, upstream))
+            {
+                upstream.stop();
+            }
+        }
+        self.upstreams.store(sync::Arc::new(next));
+        let leaves = vms.iter().any(|vm| vm.vm == self.settings.vm && vm.leaving);
+        self.leaving.store(leaves, atomic::Ordering::Release);
+        self.changes.send_modify(|version| *version += 1);
+        self.ready.set(!self.is_leaving());
+    }
+
+    /// Returns an upstream.
+    #[must_use]
+    pub fn find(&self, name: &str) -> Option<sync::Arc<upstream::Upstream>> {
+        self.upstreams.load().get(name).cloned()
+    }
+
+    /// Returns the upstreams whose control connections run.
+    #[must_use]
+    pub fn active(&self) -> Vec<sync::Arc<upstream::Upstream>> {
+        let upstreams = self.upstreams.load();
+        let active = upstreams.values().filter(|upstream| upstream.is_active());
+        active.cloned().collect()
+    }
+
+    /// Tells whether control tables have arrived.
+    #[must_use]
+    pub fn is_loaded(&self) -> bool {
+        !self.upstreams.load().is_empty()
+    }
+
+    /// Tells whether the pool takes no new units.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(atomic::Ordering::Acquire)
+            || self.stopping.load(atomic::Ordering::Acquire)
+    }
+
+    /// Takes no new units from now on, and says so on the feeds.
+    pub fn stop(&self) {
+        self.stopping.store(true, atomic::Ordering::Release);
+        self.ready.set(false);
+        self.changes.send_modify(|version| *version += 1);
+    }
+
+    /// Returns a receiver that changes when a feed has something to say.
+    #[must_use]
+    pub fn subscribe(&self) -> tokio::sync::watch::Receiver<u64> {
+        self.changes.subscribe()
+    }
+
+    /// Counts a unit as open.
+    #[must_use]
+    pub fn open_unit(self: &sync::Arc<Self>) -> OpenUnit {
+        self.units.send_modify(|units| *units += 1);
+        OpenUnit {
+            table: sync::Arc::clone(self),
+        }
+    }
+
+    /// Completes once no unit is open.
+    pub async fn wait_idle(&self) {
+        let mut units = self.units.subscribe();
+        // The sender lives as long as this table.
+        drop(units.wait_for(|units| *units == 0).await);
+    }
+
+    /// Returns what the keeper is told.
+    #[must_use]
+    pub fn report(&self) -> program_report::ProgramReport {
+        program_report::ProgramReport {
+            rules_revision: self.revision.load(atomic::Ordering::Acquire),
+            sessions: 0,
+            queues: self
+                .active()
+                .iter()
+                .map(|upstream| upstream.queue_report())
+                .collect(),
+            refusals: counters::refusals(),
+            retries: counters::retries(),
+        }
+    }
+}
+
+impl Drop for OpenUnit {
+    fn drop(&mut self) {
+        self.table
+            .units
+            .send_modify(|units| *units = units.saturating_sub(1));
+    }
+}
