--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -5,6 +5,7 @@
 pub mod customer_terms;
 pub mod ownership;
 pub mod queue;
+pub mod rule_log;
 pub mod running_batches;
 pub mod schedule_event;
 pub mod schedule_limits;
