--- a/src/decide/customer_lane.rs
+++ b/src/decide/customer_lane.rs
@@ -13,7 +13,7 @@
 pub enum WorkClass {
     /// Known to be short.
     Short,
-    /// Never measured. It may turn out to be long, so one slot is kept from it.
+    /// Never measured. It may turn out to be long.
     Unproven,
     /// Known to be long.
     Long,
@@ -32,7 +32,7 @@
     pub fingerprint: ids::FingerprintId,
     /// What the entry says about its length.
     pub long: Option<bool>,
-    /// Class at arrival.
+    /// What is known about its length.
     pub class: WorkClass,
     /// Slot time expected at arrival.
     pub expected: time::Duration,
@@ -42,7 +42,7 @@
     pub in_transaction: bool,
 }
 
-/// The batches of one customer that wait for a slot, by class at arrival and in order.
+/// The batches of one customer that wait for a slot, by class and in order.
 #[derive(Clone, Debug)]
 pub struct CustomerLane {
     /// Whether the customer has bought priority.
@@ -91,13 +91,32 @@
         self.list(batch.class).push_back(batch);
     }
 
-    /// Returns the first batch that `eligible` accepts. Batches of one class run in order of
-    /// arrival.
+    /// Returns the first batch that `eligible` accepts. Short and long batches run in order of
+    /// arrival, so only the first of each is asked for; unproven ones depend on their statement.
     pub fn first(&self, eligible: impl Fn(&WaitingBatch) -> bool) -> Option<&WaitingBatch> {
-        self.lists
-            .iter()
-            .filter_map(|list| list.front().filter(|batch| eligible(batch)))
-            .min_by_key(|batch| batch.sequence)
+        let [short, unproven, long] = &self.lists;
+        [
+            short.front().filter(|batch| eligible(batch)),
+            unproven.iter().find(|batch| eligible(batch)),
+            long.front().filter(|batch| eligible(batch)),
+        ]
+        .into_iter()
+        .flatten()
+        .min_by_key(|batch| batch.sequence)
+    }
+
+    /// Sorts the batches anew after the class of a statement has changed.
+    pub fn sort(&mut self, class: impl Fn(&WaitingBatch) -> WorkClass) {
+        let mut batches: Vec<_> = self
+            .lists
+            .iter_mut()
+            .flat_map(|list| list.drain(..))
+            .collect();
+        batches.sort_by_key(|batch| batch.sequence);
+        for mut batch in batches {
+            batch.class = class(&batch);
+            self.list(batch.class).push_back(batch);
+        }
     }
 
     /// Returns the batch that arrived last.
--- a/src/decide/queue.rs
+++ b/src/decide/queue.rs
@@ -11,9 +11,10 @@
 use crate::model::{ids, refusal_reason};
 use crate::rules::rule_set;
 
-/// Part of its fair share that every customer gets while the priority customer wants all slots.
-/// The stated target is a fifth; a tenth is added on top so that rounding stays above it.
-const FLOOR_SHARE: f64 = 0.22;
+/// Slot time that a waiting customer is owed for each second that the priority customer uses, as
+/// a part of its fair share. A fifth of the fair share of *all* slot time is the target; since what
+/// is owed adds to all slot time, up to a quarter is needed, and the rest covers rounding.
+const FLOOR_SHARE: f64 = 0.27;
 /// Largest debt in seconds of slot time to a customer that is behind its floor, and the largest
 /// lead before the floor counts again.
 const FLOOR_DEBT_LIMIT: f64 = 0.05;
@@ -135,7 +136,11 @@
         if !keeps_unit {
             self.units = self.units.saturating_sub(1);
         }
+        let class = self.class(batch.fingerprint, None);
         self.times.record(batch.fingerprint, slot_time);
+        if class != self.class(batch.fingerprint, None) {
+            self.sort_lanes();
+        }
         self.charge(&batch, slot_time);
         self.grant(now, &mut actions);
         actions
@@ -180,8 +185,12 @@
             let reason = refusal_reason::RefusalReason::Deadline;
             actions.push(schedule_event::ScheduleAction::Refuse(ticket, reason));
         }
-        for (fingerprint, elapsed) in self.running.reclassify(self.limits.long_after, now) {
-            self.times.raise(fingerprint, elapsed);
+        let changed = self.running.reclassify(self.limits.long_after, now);
+        for (fingerprint, elapsed) in &changed {
+            self.times.raise(*fingerprint, *elapsed);
+        }
+        if !changed.is_empty() {
+            self.sort_lanes();
         }
         self.grant(now, &mut actions);
         actions
@@ -276,12 +285,15 @@
         fingerprint: ids::FingerprintId,
         long: Option<bool>,
     ) -> customer_lane::WorkClass {
-        match (long, self.times.mean(fingerprint)) {
-            (Some(true), _) => customer_lane::WorkClass::Long,
-            (Some(false), _) => customer_lane::WorkClass::Short,
-            (None, None) => customer_lane::WorkClass::Unproven,
-            (None, Some(mean)) if mean > self.limits.long_after => customer_lane::WorkClass::Long,
-            (None, Some(_)) => customer_lane::WorkClass::Short,
+        self.times.class(fingerprint, long, self.limits.long_after)
+    }
+
+    fn sort_lanes(&mut self) {
+        for lane in self.lanes.values_mut().chain([&mut self.transactions]) {
+            lane.sort(|batch| {
+                self.times
+                    .class(batch.fingerprint, batch.long, self.limits.long_after)
+            });
         }
     }
 
@@ -295,9 +307,15 @@
         let heavy = self.running.heavy();
         let borrowed = slots.saturating_sub(self.terms.reserve).max(1);
         let may_borrow = high || batch.in_transaction || self.running.borrowing() < borrowed;
-        match self.class(batch.fingerprint, batch.long) {
+        match batch.class {
             customer_lane::WorkClass::Short => true,
-            customer_lane::WorkClass::Unproven => heavy < most && may_borrow,
+            // The first run of a statement is its trial: there is one at a time, and one trial
+            // may use the last slot. Without that exception, a short statement that is new would
+            // wait for exports to end.
+            customer_lane::WorkClass::Unproven => {
+                let has_room = heavy < most || self.running.unproven() == 0;
+                has_room && may_borrow && !self.running.has_trial(batch.fingerprint)
+            }
             customer_lane::WorkClass::Long => {
                 heavy < most
                     && self.running.long() < self.terms.long_slots.clamp(1, most)
@@ -418,7 +436,7 @@
             lane.floor_debt -= batch.expected.as_secs_f64();
         }
         let running = running_batches::RunningBatch {
-            class: self.class(batch.fingerprint, batch.long),
+            class: batch.class,
             high: self.terms.of(&batch.customer).0,
             customer: batch.customer,
             fingerprint: batch.fingerprint,
@@ -443,7 +461,9 @@
                 lane.deficit = (lane.deficit + correction).max(-DEFICIT_LIMIT);
                 lane.floor_debt += correction;
             }
-            if !lane.is_empty() {
+            // Only the priority customer can hold others below their share, so its first request
+            // after a pause finds nobody with a claim to go before it.
+            if batch.high && !lane.is_empty() {
                 let share = f64::from(lane.weight) / f64::from(weights.max(1));
                 lane.floor_debt += seconds * share * FLOOR_SHARE;
             }
--- a/src/decide/running_batches.rs
+++ b/src/decide/running_batches.rs
@@ -85,6 +85,20 @@
         self.long
     }
 
+    /// Returns the number of batches that were never measured.
+    #[must_use]
+    pub const fn unproven(&self) -> u32 {
+        self.unproven
+    }
+
+    /// Tells whether an unmeasured batch of a statement runs.
+    #[must_use]
+    pub fn has_trial(&self, fingerprint: ids::FingerprintId) -> bool {
+        self.batches.values().any(|batch| {
+            batch.class == customer_lane::WorkClass::Unproven && batch.fingerprint == fingerprint
+        })
+    }
+
     /// Returns the number of batches that are long or may turn out to be.
     #[must_use]
     pub const fn heavy(&self) -> u32 {
--- a/src/decide/slot_times.rs
+++ b/src/decide/slot_times.rs
@@ -4,6 +4,7 @@
 use std::mem;
 use std::time;
 
+use crate::decide::customer_lane;
 use crate::model::ids;
 
 /// Fingerprints in one of the two generations. It bounds the table at twice this number.
@@ -49,6 +50,23 @@
             .unwrap_or_else(|| time::Duration::from_secs_f64(self.overall))
     }
 
+    /// Returns the class of a statement. What the entry says about its length goes first.
+    #[must_use]
+    pub fn class(
+        &self,
+        fingerprint: ids::FingerprintId,
+        long: Option<bool>,
+        long_after: time::Duration,
+    ) -> customer_lane::WorkClass {
+        match (long, self.mean(fingerprint)) {
+            (Some(true), _) => customer_lane::WorkClass::Long,
+            (Some(false), _) => customer_lane::WorkClass::Short,
+            (None, None) => customer_lane::WorkClass::Unproven,
+            (None, Some(mean)) if mean > long_after => customer_lane::WorkClass::Long,
+            (None, Some(_)) => customer_lane::WorkClass::Short,
+        }
+    }
+
     /// Takes a measurement in.
     pub fn record(&mut self, fingerprint: ids::FingerprintId, slot_time: time::Duration) {
         let seconds = slot_time.as_secs_f64();
