--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -10,3 +10,4 @@
 pub mod schedule_event;
 pub mod schedule_limits;
 pub mod slot_times;
+pub mod wait_estimate;
--- a/src/decide/queue.rs
+++ b/src/decide/queue.rs
@@ -7,6 +7,7 @@
 
 use crate::decide::{
     customer_lane, customer_terms, running_batches, schedule_event, schedule_limits, slot_times,
+    wait_estimate,
 };
 use crate::model::{ids, refusal_reason};
 use crate::rules::rule_set;
@@ -81,7 +82,7 @@
         let expected = self.times.expected(arrival.fingerprint);
         if self.is_fair()
             && !self.has_free_slot()
-            && self.wait_for(&arrival, expected) > arrival.start_within
+            && self.estimate().wait_for(&arrival, expected) > arrival.start_within
         {
             let reason = refusal_reason::RefusalReason::Deadline;
             actions.push(schedule_event::ScheduleAction::Refuse(
@@ -202,7 +203,7 @@
         if self.has_free_slot() {
             return time::Duration::ZERO;
         }
-        self.total_backlog() / self.limits.slots.max(1)
+        self.estimate().total()
     }
 
     /// Returns the mean slot time of a fingerprint, once measured.
@@ -233,51 +234,17 @@
         self.limits.policy == schedule_limits::QueuePolicy::Fair
     }
 
-    fn has_free_slot(&self) -> bool {
-        self.running.len() < self.limits.slots as usize
-    }
-
-    fn total_backlog(&self) -> time::Duration {
-        self.lanes
-            .values()
-            .fold(self.transactions.backlog, |sum, lane| sum + lane.backlog)
+    fn estimate(&self) -> wait_estimate::WaitEstimate<'_> {
+        wait_estimate::WaitEstimate {
+            transactions: &self.transactions,
+            lanes: &self.lanes,
+            terms: &self.terms,
+            slots: self.limits.slots.max(1),
+        }
     }
 
-    fn wait_for(
-        &self,
-        arrival: &schedule_event::BatchArrival,
-        expected: time::Duration,
-    ) -> time::Duration {
-        let slots = self.limits.slots.max(1);
-        if arrival.in_transaction {
-            return self.transactions.backlog / slots;
-        }
-        let (high, weight) = self.terms.of(&arrival.customer);
-        let first = self
-            .lanes
-            .values()
-            .filter(|lane| lane.high)
-            .fold(self.transactions.backlog, |sum, lane| sum + lane.backlog);
-        if high {
-            return first / slots;
-        }
-        let own = self
-            .lanes
-            .get(&arrival.customer)
-            .map_or(time::Duration::ZERO, |lane| lane.backlog);
-        let weights: u32 = self
-            .lanes
-            .iter()
-            .filter(|(customer, lane)| {
-                !lane.high && (!lane.is_empty() || **customer == arrival.customer)
-            })
-            .map(|(_, lane)| lane.weight)
-            .sum();
-        // The customer's turn comes after its own backlog at its share, and at the latest once
-        // everything before it has run.
-        let share = f64::from(weights.max(weight)) / f64::from(weight.max(1));
-        let fair = own.mul_f64(share) + first;
-        fair.min(self.total_backlog() + expected) / slots
+    fn has_free_slot(&self) -> bool {
+        self.running.len() < self.limits.slots as usize
     }
 
     fn class(
