--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,5 +15,6 @@
 pub mod link;
 pub mod model;
 pub mod platform;
+pub mod pool;
 pub mod rules;
 pub mod shutdown;
