--- a/src/bin/persimmonctl.rs
+++ b/src/bin/persimmonctl.rs
@@ -1,2 +1,10 @@
-//! Placeholder.
-fn main() {}
+//! The operators' command line.
+
+use std::env;
+use std::process;
+
+use persimmontack::ctl;
+
+fn main() -> process::ExitCode {
+    ctl::run(env::args_os().skip(1)).into()
+}
--- /dev/null
+++ b/src/ctl/control_call.rs
@@ -0,0 +1,85 @@
+//! Asks a keeper or an entry over the link.
+
+use std::net;
+use std::time;
+
+use crate::ctl::config;
+use crate::ctl::ctl_error;
+use crate::exit_code;
+use crate::link::{client, control, hello, link_error, stream_kind};
+
+/// Sends a request and returns the answer, or why there is none. An error with
+/// [`link_error::LinkStep::Receive`] means that the request may have been carried out.
+pub(super) async fn ask(
+    peer: net::SocketAddr,
+    request: &control::ControlRequest,
+    timeout: time::Duration,
+) -> Result<control::ControlReply, link_error::LinkError> {
+    let hello = hello::Hello::new("", "persimmonctl");
+    let client = client::PeerClient::connect(&config::dialer(), peer, &hello).await?;
+    let (mut writer, mut reader) = client.open(stream_kind::StreamKind::Control).await?;
+    writer.send_last(request).await?;
+    tokio::time::timeout(timeout, reader.expect::<control::ControlReply>())
+        .await
+        .map_err(|elapsed| {
+            link_error::LinkError::new(link_error::LinkStep::Receive, &peer.to_string(), elapsed)
+        })?
+}
+
+/// Returns the keepers to ask, best first: the one that is given, or those that the platform
+/// lists.
+pub(super) async fn keepers(
+    config: &config::CtlConfig,
+) -> Result<Vec<net::SocketAddr>, ctl_error::CtlError> {
+    if let Some(keeper) = config.keeper {
+        return Ok(vec![keeper]);
+    }
+    let Some(platform) = config.platform_client() else {
+        return Err(ctl_error::CtlError::usage(
+            "no keeper is known; use --keeper ADDR, or --platform ADDR to look one up",
+        ));
+    };
+    let vms = platform.vms().await.map_err(|error| {
+        ctl_error::CtlError::new(
+            exit_code::ExitCode::Unreachable,
+            format!("{error}; name a keeper with --keeper ADDR"),
+        )
+    })?;
+    Ok(vms.into_iter().map(|vm| vm.keeper).collect())
+}
+
+/// Asks the keepers in turn for their status until one answers.
+pub(super) async fn status(
+    keepers: &[net::SocketAddr],
+) -> Result<control::StatusReport, ctl_error::CtlError> {
+    let mut failures = Vec::new();
+    for keeper in keepers {
+        match ask(
+            *keeper,
+            &control::ControlRequest::Status,
+            config::CALL_TIMEOUT,
+        )
+        .await
+        {
+            Ok(control::ControlReply::Status(report)) => return Ok(report),
+            Ok(reply) => failures.push(unexpected(*keeper, &reply)),
+            Err(error) => failures.push(error.to_string()),
+        }
+    }
+    let causes = match failures.is_empty() {
+        true => "the platform lists no VM".to_owned(),
+        false => failures.join("; "),
+    };
+    Err(ctl_error::CtlError::new(
+        exit_code::ExitCode::Unreachable,
+        format!("no keeper answered ({causes}); try another one with --keeper ADDR"),
+    ))
+}
+
+/// Describes an answer that does not fit the request.
+pub(super) fn unexpected(peer: net::SocketAddr, reply: &control::ControlReply) -> String {
+    match reply {
+        control::ControlReply::Failed(cause) => format!("peer={peer} cause={cause}"),
+        _ => format!("peer={peer} cause=the answer is of another kind than the request"),
+    }
+}
--- /dev/null
+++ b/src/ctl/drain.rs
@@ -0,0 +1,114 @@
+//! `persimmonctl drain` and `persimmonctl undrain`.
+
+use crate::ctl;
+use crate::ctl::apply;
+use crate::ctl::commit;
+use crate::ctl::config;
+use crate::ctl::ctl_error;
+use crate::ctl::rule_store;
+use crate::ctl::rules_file;
+use crate::exit_code;
+use crate::rules::rule_set;
+
+/// Attempts against other operators. Adding or removing one line fits onto any revision, so a lost
+/// race only means another attempt.
+const MAX_ATTEMPTS: u32 = 16;
+
+/// Adds a drain rule.
+pub(super) async fn add(
+    config: &config::CtlConfig,
+    rule: &rule_set::DrainRule,
+    author: &str,
+) -> Result<ctl::CtlOutput, ctl_error::CtlError> {
+    let store = rule_store::RuleStore::new(config)?;
+    check_target(&store, &rule.target).await?;
+    edit(&store, author, |text| {
+        if drains(text, &rule.target) {
+            return Ok(text.to_owned());
+        }
+        Ok(format!("{text}{rule}\n"))
+    })
+    .await
+}
+
+/// Removes a drain rule.
+pub(super) async fn remove(
+    config: &config::CtlConfig,
+    target: &rule_set::DrainTarget,
+    author: &str,
+) -> Result<ctl::CtlOutput, ctl_error::CtlError> {
+    let store = rule_store::RuleStore::new(config)?;
+    edit(&store, author, |text| {
+        if !drains(text, target) {
+            return Err(ctl_error::CtlError::new(
+                exit_code::ExitCode::Failure,
+                format!("no rule drains {target}; persimmonctl show prints the rules"),
+            ));
+        }
+        let kept = text.lines().filter(|line| !drains(line, target));
+        Ok(kept.flat_map(|line| [line, "\n"]).collect())
+    })
+    .await
+}
+
+async fn edit(
+    store: &rule_store::RuleStore,
+    author: &str,
+    change: impl Fn(&str) -> Result<String, ctl_error::CtlError>,
+) -> Result<ctl::CtlOutput, ctl_error::CtlError> {
+    let mut winners = Vec::new();
+    for _attempt in 0..MAX_ATTEMPTS {
+        let newest = store.newest().await?;
+        let text = change(&newest.text)?;
+        rules_file::parse("the newest revision", &text)?;
+        match commit::commit(store, &newest, &text, author).await? {
+            commit::CommitOutcome::Unchanged => {
+                return Ok(apply::describe_unchanged(newest.revision));
+            }
+            commit::CommitOutcome::Made(change, warning) => {
+                return Ok(apply::describe(&change, warning.as_ref()));
+            }
+            commit::CommitOutcome::Lost(winner) => winners.push(winner),
+        }
+    }
+    Err(commit::conflict(&winners))
+}
+
+/// Tells whether a line of the text drains the target. Each line is read by itself, so that one
+/// that is not valid does not hide the others.
+fn drains(text: &str, target: &rule_set::DrainTarget) -> bool {
+    text.lines()
+        .filter_map(|line| rule_set::RuleSet::parse(line).ok())
+        .any(|rules| rules.drains.iter().any(|rule| rule.target == *target))
+}
+
+/// Refuses names that the platform does not list, which are most likely misspelt.
+async fn check_target(
+    store: &rule_store::RuleStore,
+    target: &rule_set::DrainTarget,
+) -> Result<(), ctl_error::CtlError> {
+    let platform = store.platform();
+    let (wanted, known) = match target {
+        rule_set::DrainTarget::Upstream(upstream) => {
+            let groups = platform.groups().await;
+            let groups = groups.map_err(|error| ctl_error::CtlError::platform(&error))?;
+            let upstreams = groups.into_iter().flat_map(|group| group.upstreams);
+            (upstream, upstreams.map(|spec| spec.upstream).collect())
+        }
+        rule_set::DrainTarget::Vm(vm) => {
+            let vms = platform.vms().await;
+            let vms = vms.map_err(|error| ctl_error::CtlError::platform(&error))?;
+            (vm, vms.into_iter().map(|record| record.vm).collect())
+        }
+    };
+    let known: Vec<String> = known;
+    if known.contains(wanted) {
+        return Ok(());
+    }
+    let mut error = ctl_error::CtlError::new(
+        exit_code::ExitCode::Failure,
+        format!("the platform does not list {target}; check the name (the list of VMs lags)"),
+    );
+    error.details = known;
+    Err(error)
+}
--- /dev/null
+++ b/src/ctl/mod.rs
@@ -0,0 +1,128 @@
+//! `persimmonctl`: the operators' command line. It keeps no state; the platform's store decides
+//! which change of the rules comes first.
+
+mod apply;
+mod check;
+mod commit;
+mod config;
+mod control_call;
+mod ctl_error;
+mod drain;
+mod explain;
+mod help;
+mod history;
+mod options;
+mod promote;
+mod rule_store;
+mod rules_file;
+mod show;
+mod status;
+mod status_view;
+mod text_table;
+mod verifier;
+mod wait;
+
+use std::env;
+use std::ffi;
+use std::io;
+use std::io::Write;
+
+use crate::exit_code;
+
+/// Name with which every error starts.
+const PROGRAM: &str = "persimmonctl";
+
+/// What a command prints on success.
+#[derive(Debug)]
+struct CtlOutput {
+    text: String,
+    json: serde_json::Value,
+}
+
+/// Runs the command that the arguments (without the program's name) ask for.
+pub fn run(arguments: impl Iterator<Item = ffi::OsString>) -> exit_code::ExitCode {
+    let resolved = options::CtlOptions::parse(arguments)
+        .and_then(|options| config::CtlRequest::resolve(options, |name| env::var(name).ok()));
+    let config = match resolved {
+        Ok(config::CtlRequest::Help(text)) => return print(&text, exit_code::ExitCode::Success),
+        Ok(config::CtlRequest::Run(config)) => config,
+        Err(error) => return report(&error, false),
+    };
+    let runtime = match tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+    {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            let text =
+                format!("the runtime cannot start ({error}); check the limits of open files");
+            return report(
+                &ctl_error::CtlError::new(exit_code::ExitCode::Failure, text),
+                false,
+            );
+        }
+    };
+    match runtime.block_on(run_action(&config)) {
+        Ok(output) if config.json => print(
+            &format!("{:#}\n", output.json),
+            exit_code::ExitCode::Success,
+        ),
+        Ok(output) => print(&output.text, exit_code::ExitCode::Success),
+        Err(error) => report(&error, config.json),
+    }
+}
+
+async fn run_action(config: &config::CtlConfig) -> Result<CtlOutput, ctl_error::CtlError> {
+    match &config.action {
+        config::CtlAction::Check { file } => check::run(file),
+        config::CtlAction::Apply(request) => apply::run(config, request).await,
+        config::CtlAction::Show { revision } => show::run(config, *revision).await,
+        config::CtlAction::History { last } => history::run(config, *last).await,
+        config::CtlAction::Status => status::run(config).await,
+        config::CtlAction::Explain { entry, request } => explain::run(*entry, request).await,
+        config::CtlAction::Drain { rule, author } => drain::add(config, rule, author).await,
+        config::CtlAction::Undrain { target, author } => {
+            drain::remove(config, target, author).await
+        }
+        config::CtlAction::Promote { group, upstream } => {
+            promote::run(config, group, upstream.as_deref()).await
+        }
+        config::CtlAction::Verifier { user } => verifier::run(user),
+    }
+}
+
+/// Prints to standard output. A reader that has gone away, like `head`, has what it wanted.
+fn print(text: &str, code: exit_code::ExitCode) -> exit_code::ExitCode {
+    let mut output = io::stdout().lock();
+    match output
+        .write_all(text.as_bytes())
+        .and_then(|()| output.flush())
+    {
+        Ok(()) => code,
+        Err(error) if error.kind() == io::ErrorKind::BrokenPipe => code,
+        Err(error) => {
+            let text = format!("the output cannot be written ({error}); check where it goes");
+            report(
+                &ctl_error::CtlError::new(exit_code::ExitCode::Failure, text),
+                false,
+            )
+        }
+    }
+}
+
+/// Prints an error, and with `--json` also its details on standard output.
+fn report(error: &ctl_error::CtlError, json: bool) -> exit_code::ExitCode {
+    let mut text = String::new();
+    for sentence in &error.sentences {
+        text.push_str(&format!("{PROGRAM}: {sentence}\n"));
+    }
+    for detail in &error.details {
+        text.push_str(&format!("  {detail}\n"));
+    }
+    // There is no place left to report that standard error is closed.
+    let _ignored = io::stderr().lock().write_all(text.as_bytes());
+    match &error.json {
+        Some(value) if json => print(&format!("{value:#}\n"), error.code),
+        _ => error.code,
+    }
+}
--- /dev/null
+++ b/src/ctl/rules_file.rs
@@ -0,0 +1,60 @@
+//! Reads a rules file and reports what is wrong with it.
+
+use std::fs;
+use std::io;
+use std::io::Read;
+
+use crate::ctl::ctl_error;
+use crate::exit_code;
+use crate::rules::rule_set;
+
+/// Reads a file, or standard input for `-`.
+pub(super) fn read(file: &str) -> Result<String, ctl_error::CtlError> {
+    let mut bytes = Vec::new();
+    let result = if file == "-" {
+        io::stdin().lock().read_to_end(&mut bytes).map(drop)
+    } else {
+        fs::read(file).map(|content| bytes = content)
+    };
+    result.map_err(|error| {
+        ctl_error::CtlError::new(
+            exit_code::ExitCode::Invalid,
+            format!("{file} cannot be read ({error}); check the name and the permissions"),
+        )
+    })?;
+    String::from_utf8(bytes).map_err(|error| {
+        let valid = error.as_bytes().get(..error.utf8_error().valid_up_to());
+        let line = valid.map_or(1, |valid| {
+            1 + valid.iter().filter(|byte| **byte == b'\n').count()
+        });
+        ctl_error::CtlError::new(
+            exit_code::ExitCode::Invalid,
+            format!("{file}:{line}: found bytes that are not UTF-8; save the file as UTF-8"),
+        )
+    })
+}
+
+/// Checks the text of a file.
+pub(super) fn parse(file: &str, text: &str) -> Result<rule_set::RuleSet, ctl_error::CtlError> {
+    rule_set::RuleSet::parse(text).map_err(|errors| {
+        let list = errors
+            .iter()
+            .map(|error| {
+                serde_json::json!({
+                    "line": error.line,
+                    "column": error.column,
+                    "problem": error.problem,
+                })
+            })
+            .collect::<Vec<_>>();
+        ctl_error::CtlError {
+            code: exit_code::ExitCode::Invalid,
+            sentences: errors
+                .iter()
+                .map(|error| format!("{file}:{}:{}: {}", error.line, error.column, error.problem))
+                .collect(),
+            details: Vec::new(),
+            json: Some(serde_json::json!({ "file": file, "valid": false, "errors": list })),
+        }
+    })
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 //! processes, their messages and the state each of them owns.
 
 pub mod counters;
+pub mod ctl;
 pub mod decide;
 pub mod dial;
 pub mod event;
--- a/src/rules/mod.rs
+++ b/src/rules/mod.rs
@@ -12,5 +12,5 @@
 mod rule_line;
 pub mod rule_set;
 pub mod scram_verifier;
-mod time_text;
+pub(crate) mod time_text;
 mod write;
--- a/src/rules/rule_line.rs
+++ b/src/rules/rule_line.rs
@@ -29,12 +29,22 @@
 }
 
 impl RuleLine {
-    /// Splits a line. Returns `None`, after reporting, if a quote is not closed.
+    /// Splits a line. Returns `None`, after reporting, if that is not possible.
     pub(super) fn split(
         number: usize,
         text: &str,
         errors: &mut Vec<rule_error::RuleError>,
     ) -> Option<Self> {
+        // The log of changes keeps lines, and a line must not hold what other tools take for its end.
+        if let Some(place) = text.chars().position(|c| c == '\r') {
+            errors.push(rule_error::RuleError {
+                line: number,
+                column: place + 1,
+                problem: "found a carriage return within a line, expected line ends only"
+                    .to_owned(),
+            });
+            return None;
+        }
         let mut line = Self {
             number,
             tokens: Vec::new(),
--- a/src/rules/time_text.rs
+++ b/src/rules/time_text.rs
@@ -6,7 +6,7 @@
 const MS_PER_MINUTE: u64 = 60 * MS_PER_SECOND;
 
 /// Parses a time; `None` if it is not one or does not fit.
-pub(super) fn parse(text: &str) -> Option<time::Duration> {
+pub(crate) fn parse(text: &str) -> Option<time::Duration> {
     let unit_at = text.find(|c: char| !c.is_ascii_digit())?;
     let (digits, unit) = text.split_at_checked(unit_at)?;
     let factor = match unit {
@@ -20,7 +20,7 @@
 }
 
 /// Formats a time with the largest unit that keeps it whole. Parts below 1 ms are dropped.
-pub(super) fn format(value: time::Duration) -> String {
+pub(crate) fn format(value: time::Duration) -> String {
     let ms = u64::try_from(value.as_millis()).unwrap_or(u64::MAX);
     match ms {
         0 => "0s".to_owned(),
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -177,6 +177,11 @@
             "1:6",
             ["not closed", "end of the line"],
         ),
+        (
+            format!("customer a\r weight=x {BY}"),
+            "1:11",
+            ["carriage return", "line ends"],
+        ),
         (
             format!("long COPY {BY}"),
             "1:6",
