--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod blackboard;
 pub mod counters;
+pub mod ctl;
 pub mod decide;
 pub mod dial;
 pub mod event;
