--- a/src/decide/confirm.rs
+++ b/src/decide/confirm.rs
@@ -26,26 +26,41 @@
     if confirmed {
         return CommitVerdict::Kept;
     }
-    match settled_start(position.term, states) {
-        Some(start) if position.offset < start.offset => CommitVerdict::Kept,
-        Some(_) => CommitVerdict::Dropped,
-        None => CommitVerdict::Pending,
+    let Some((start, holder)) = settled_start(position.term, states) else {
+        return CommitVerdict::Pending;
+    };
+    if position.offset >= start.offset {
+        return CommitVerdict::Dropped;
+    }
+    // The offset alone proves nothing: the later primary may have started from a log that never had
+    // this term and whose older entries fill the offset. A log with the term's start entry has the
+    // term's entries up to the next start.
+    let has = |wanted: &dyn Fn(ids::TermNumber) -> bool| {
+        holder.starts.iter().any(|start| wanted(start.term))
+    };
+    if has(&|term| term == position.term) {
+        CommitVerdict::Kept
+    } else if has(&|term| term < position.term) {
+        CommitVerdict::Dropped
+    } else {
+        // The list of recent starts may have been cut off.
+        CommitVerdict::Pending
     }
 }
 
-/// Returns the start entry of the first term after `term` once two upstreams hold it. One copy is no
+/// Returns the start entry of the first term after `term` once two upstreams hold it, with one of them. One copy is no
 /// evidence: a primary that was cut off right after its promotion may be replaced without a trace.
 fn settled_start<'a>(
     term: ids::TermNumber,
     states: impl Iterator<Item = &'a upstream_state::UpstreamState> + Clone,
-) -> Option<log_position::LogPosition> {
+) -> Option<(log_position::LogPosition, &'a upstream_state::UpstreamState)> {
     let holds = |state: &upstream_state::UpstreamState, start: log_position::LogPosition| {
         state.first_start_after(term) == Some(start) && state.held >= start
     };
     states
         .clone()
-        .filter_map(|state| state.first_start_after(term))
-        .filter(|start| {
+        .filter_map(|state| Some((state.first_start_after(term)?, state)))
+        .filter(|(start, _)| {
             states
                 .clone()
                 .filter(|state| holds(state, *start))
@@ -54,5 +69,5 @@
                 .len()
                 >= 2
         })
-        .min()
+        .min_by_key(|(start, _)| *start)
 }
