Add the test environment and tests of the stand-ins

The environment starts platform, instances and daemons as child processes, gives each VM and upstream a loopback address of its own, and can put a fault link in front of each listener.

--- a/tests/standins.rs
+++ b/tests/standins.rs
@@ -1,16 +1,14 @@
-//! Tests of the stand-ins, so that a failing test of the product can be traced to the product.
+//! Tests of the stand-in instance and the fault link, so that a failing test of the product can be traced to the product.
 
 use std::net;
 use std::path;
 use std::time;
 
 use futures::StreamExt;
-use persimmontack::dial;
 use persimmontack::model::{log_position, upstream_state};
-use persimmontack::platform::{client, kv_entry, platform_error};
 use standins::fault_link;
-use standins::instance::{instance_server, journal, settings};
-use standins::platform::{platform_server, settings as platform_settings};
+use standins::instance::{instance_server, journal, log_entry, settings};
+use testenv::{env_plan, test_env};
 
 /// Limit on waits for a condition; only a failing test reaches it.
 const WAIT_LIMIT: time::Duration = time::Duration::from_secs(30);
@@ -286,108 +284,6 @@
     assert_eq!(sql_state(&error), "53300");
 }
 
-async fn platform() -> (net::SocketAddr, client::PlatformClient) {
-    let settings = platform_settings::PlatformSettings {
-        listen: net::SocketAddr::from(([127, 0, 0, 1], 0)),
-        writes_per_second: 400,
-        reads_per_second: 2000,
-        vm_lag_ms: 0,
-    };
-    let (address, _task) = platform_server::start(settings).await.unwrap();
-    let dialer = dial::TcpDialer {
-        source: None,
-        timeout: time::Duration::from_secs(1),
-    };
-    (
-        address,
-        client::PlatformClient::new(address, "vm-1", dialer),
-    )
-}
-
-fn put_body(value: &str, expected: Option<u64>, lease: Option<String>) -> kv_entry::PutBody {
-    kv_entry::PutBody {
-        value: value.to_owned(),
-        expected,
-        lease,
-    }
-}
-
-/// Guards against two writers that both believe to have made the same revision.
-#[tokio::test]
-async fn second_writer_gets_the_conflict_and_the_winner() {
-    let (_address, client) = platform().await;
-    let revision = client
-        .put("rules/log/1", &put_body("mine", Some(0), None))
-        .await
-        .unwrap();
-    let error = client
-        .put("rules/log/1", &put_body("yours", Some(0), None))
-        .await
-        .unwrap_err();
-    let platform_error::PlatformError::Conflict { current, .. } = error else {
-        panic!("expected a conflict, got {error}");
-    };
-    let current = current.unwrap();
-    assert_eq!(
-        (current.value.as_str(), current.revision),
-        ("mine", revision)
-    );
-    client.delete("rules/log/1", revision).await.unwrap();
-    assert_eq!(client.get("rules/log/1").await.unwrap(), None);
-}
-
-/// Guards against a lease that keeps its key although nobody renews it, and against a watch that
-/// does not see the deletion.
-#[tokio::test]
-async fn lapsed_lease_deletes_its_key_and_wakes_the_watch() {
-    let (_address, client) = platform().await;
-    let lease = client
-        .grant_lease(time::Duration::from_millis(50))
-        .await
-        .unwrap();
-    let body = put_body("vm-1", Some(0), Some(lease.id.clone()));
-    let revision = client.put("lease/shard/1", &body).await.unwrap();
-    let listing = client.watch("lease/", revision, WAIT_LIMIT).await.unwrap();
-    assert_eq!(listing.entries, vec![]);
-    assert!(listing.revision > revision);
-    assert!(client.renew_lease(&lease.id).await.is_err());
-}
-
-/// Guards against a lost answer that did not take effect, which would hide the case that callers
-/// must settle by reading back.
-#[tokio::test]
-async fn lost_answer_takes_effect() {
-    let (address, client) = platform().await;
-    post(address, "/admin/faults", r#"{"lost_answers":1}"#).await;
-    let error = client
-        .put("x", &put_body("1", Some(0), None))
-        .await
-        .unwrap_err();
-    assert!(matches!(
-        error,
-        platform_error::PlatformError::NoAnswer { .. }
-    ));
-    assert_eq!(client.get("x").await.unwrap().unwrap().value, "1");
-    client
-        .put("y", &put_body("1", Some(0), None))
-        .await
-        .unwrap();
-}
-
-async fn post(address: net::SocketAddr, path: &str, body: &str) {
-    use tokio::io::{AsyncReadExt, AsyncWriteExt};
-    let mut stream = tokio::net::TcpStream::connect(address).await.unwrap();
-    let request = format!(
-        "POST {path} HTTP/1.1\r\nhost: platform\r\nconnection: close\r\n\
-         content-type: application/json\r\ncontent-length: {}\r\n\r\n{body}",
-        body.len()
-    );
-    stream.write_all(request.as_bytes()).await.unwrap();
-    let mut reply = String::new();
-    stream.read_to_string(&mut reply).await.unwrap();
-    assert!(reply.starts_with("HTTP/1.1 200"), "{reply}");
-}
-
 /// Guards against a one-way cut that stops both directions or closes the connection, and against
 /// silence that also hits new connections or other sources.
 #[tokio::test]
@@ -453,3 +349,76 @@
         .user("pool");
     assert!(config.connect(tokio_postgres::NoTls).await.is_err());
 }
+
+/// Guards against a restart that loses log or promise, keeps its incarnation or resumes its term,
+/// and against journals of one group that disagree.
+#[tokio::test]
+async fn killed_instances_restart_from_their_journals() {
+    let plan = env_plan::EnvPlan::new(&[0, 0])
+        .group("ledger", |_index, _upstream| {})
+        .with_daemons(env_plan::DaemonSet::None)
+        .with_fault_links();
+    let mut env = test_env::TestEnv::start(plan).await.unwrap();
+    let primary = env.connect_upstream("ledger-1").await.unwrap();
+    let before = control(&primary, "group_state()").await;
+    make_primary(&primary, 1).await;
+    let address = env.address_for_others("ledger-1", "listen").unwrap();
+    for name in ["ledger-2", "ledger-3"] {
+        let replica = env.connect_upstream(name).await.unwrap();
+        control(&replica, &format!("group_follow(1, '{address}')")).await;
+    }
+    primary
+        .batch_execute("BEGIN; INSERT INTO t (k, v) VALUES ('a', '1'); INSERT INTO t (k, v) VALUES ('b', '1'); COMMIT")
+        .await
+        .unwrap();
+    let replica = env.connect_upstream("ledger-2").await.unwrap();
+    wait_state(&replica, |state| state.applied == position(1, 2)).await;
+
+    env.kill("ledger-1").unwrap();
+    env.kill("ledger-2").unwrap();
+    env.restart("ledger-2").await.unwrap();
+    env.restart("ledger-1").await.unwrap();
+    let restarted = env.connect_upstream("ledger-1").await.unwrap();
+    let state = control(&restarted, "group_state()").await;
+    assert!(state.incarnation > before.incarnation);
+    assert_eq!(state.primary_term, None);
+    assert_eq!(state.promised, 1);
+    assert_eq!(state.applied, position(1, 2));
+    assert_eq!(state.starts, vec![position(1, 1)]);
+    let error = restarted
+        .simple_query("SELECT group_fence(1)")
+        .await
+        .unwrap_err();
+    assert_eq!(sql_state(&error), "55000");
+    make_primary(&restarted, 2).await;
+    restarted
+        .batch_execute("DELETE FROM t WHERE k = 'a'")
+        .await
+        .unwrap();
+    let address = env.address_for_others("ledger-1", "listen").unwrap();
+    let replica = env.connect_upstream("ledger-2").await.unwrap();
+    control(&replica, &format!("group_follow(2, '{address}')")).await;
+    wait_state(&replica, |state| state.applied == position(2, 4)).await;
+    assert_eq!(
+        first_value(&replica, "SELECT count(*) FROM t")
+            .await
+            .unwrap(),
+        "1"
+    );
+
+    let entries = |name: &str| -> Vec<_> {
+        let events = env.journal(name).unwrap();
+        events.into_iter().filter_map(log_entry_of).collect()
+    };
+    assert_eq!(entries("ledger-1"), entries("ledger-2"));
+    assert_eq!(entries("ledger-1").len(), 4);
+}
+
+fn log_entry_of(event: journal::JournalEvent) -> Option<log_entry::LogEntry> {
+    match event {
+        journal::JournalEvent::Commit { entry, .. }
+        | journal::JournalEvent::Received { entry }
+        | journal::JournalEvent::Promote { entry } => Some(entry),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/tests/testenv/src/platform_calls.rs
@@ -0,0 +1,175 @@
+//! What a [`test_env::TestEnv`] tells the platform and asks it.
+
+use std::io;
+use std::time;
+
+use persimmontack::decide::rule_log;
+use persimmontack::dial;
+use persimmontack::model::{group_spec, upstream_spec, vm_record};
+use persimmontack::platform::{client, kv_entry};
+use standins::platform::{call_limits, fault_plan};
+
+use crate::env_plan;
+use crate::http_call;
+use crate::test_env;
+
+impl test_env::TestEnv {
+    /// Marks a VM or an upstream as leaving, or not, in the platform's lists.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the platform does not answer.
+    pub async fn set_leaving(&mut self, name: &str, leaving: bool) -> io::Result<()> {
+        if leaving {
+            self.leaving.insert(name.to_owned());
+        } else {
+            self.leaving.remove(name);
+        }
+        self.post_groups().await?;
+        self.post_vms().await
+    }
+
+    /// Posts the group list to the platform.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the platform does not answer.
+    pub async fn post_groups(&self) -> io::Result<()> {
+        let groups = self
+            .plan
+            .groups
+            .iter()
+            .map(|group| {
+                let upstreams = group.upstreams.iter().map(|upstream| {
+                    Ok(upstream_spec::UpstreamSpec {
+                        upstream: upstream.upstream.clone(),
+                        data_centre: test_env::data_centre_name(upstream.data_centre),
+                        address: self.address_for_others(&upstream.upstream, "listen")?,
+                        slots: upstream.slots,
+                        connections: upstream.connections,
+                        leaving: self.leaving.contains(&upstream.upstream),
+                    })
+                });
+                Ok(group_spec::GroupSpec {
+                    group: group.group.clone(),
+                    databases: group.databases.clone(),
+                    upstreams: upstreams.collect::<io::Result<_>>()?,
+                })
+            })
+            .collect::<io::Result<Vec<_>>>()?;
+        self.admin("/admin/groups", &serde_json::to_string(&groups)?)
+            .await
+    }
+
+    /// Posts the VM list to the platform; empty unless all daemons are started.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the platform does not answer.
+    pub async fn post_vms(&self) -> io::Result<()> {
+        if self.plan.daemons != env_plan::DaemonSet::All {
+            return Ok(());
+        }
+        let vms = self
+            .vms
+            .iter()
+            .map(|place| {
+                let link = |daemon: &str| {
+                    self.address_for_others(&format!("{}-{daemon}", place.vm), "link")
+                };
+                Ok(vm_record::VmRecord {
+                    vm: place.vm.clone(),
+                    data_centre: place.data_centre.clone(),
+                    leaving: self.leaving.contains(&place.vm),
+                    keeper: link("keeper")?,
+                    pool: link("pool")?,
+                    entry: link("entry")?,
+                })
+            })
+            .collect::<io::Result<Vec<_>>>()?;
+        self.admin("/admin/vms", &serde_json::to_string(&vms)?)
+            .await
+    }
+
+    /// Sets the platform's faults.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the platform does not answer.
+    pub async fn set_platform_faults(&self, plan: fault_plan::FaultPlan) -> io::Result<()> {
+        self.admin("/admin/faults", &serde_json::to_string(&plan)?)
+            .await
+    }
+
+    /// Reads the platform's counts.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the platform does not answer.
+    pub async fn platform_counts(&self) -> io::Result<call_limits::CountReport> {
+        let address = self.processes.address(test_env::PLATFORM, "listen")?;
+        let (_status, body) = http_call::call(address, "GET", "/admin/counts", "").await?;
+        Ok(serde_json::from_str(&body)?)
+    }
+
+    async fn admin(&self, path: &str, body: &str) -> io::Result<()> {
+        let address = self.processes.address(test_env::PLATFORM, "listen")?;
+        match http_call::call(address, "POST", path, body).await? {
+            (200, _body) => Ok(()),
+            (status, body) => Err(io::Error::other(format!("{path}: {status} {body}"))),
+        }
+    }
+
+    /// Returns a client of the platform that is counted as VM `test`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the platform is not running.
+    pub fn platform(&self) -> io::Result<client::PlatformClient> {
+        let dialer = dial::TcpDialer {
+            source: None,
+            timeout: time::Duration::from_secs(5),
+        };
+        let address = self.processes.address(test_env::PLATFORM, "listen")?;
+        Ok(client::PlatformClient::new(address, "test", dialer))
+    }
+
+    /// Makes a text the next revision of the rules and returns the revision. Other writers must
+    /// not run at the same time.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the platform refuses or another writer came first.
+    pub async fn apply_rules(&self, text: &str) -> io::Result<u64> {
+        let platform = self.platform()?;
+        let listing = platform
+            .list(rule_log::LOG_PREFIX)
+            .await
+            .map_err(io::Error::other)?;
+        let mut old = String::new();
+        for entry in &listing.entries {
+            let change: rule_log::RuleChange = serde_json::from_str(&entry.value)?;
+            old = rule_log::apply(&old, &change).map_err(io::Error::other)?;
+        }
+        let (removed, added) = rule_log::diff(&old, text);
+        let revision = u64::try_from(listing.entries.len()).unwrap_or(u64::MAX) + 1;
+        let change = rule_log::RuleChange {
+            id: format!("test-{revision}"),
+            revision,
+            author: "test".to_owned(),
+            at: 0,
+            removed,
+            added,
+        };
+        let body = kv_entry::PutBody {
+            value: serde_json::to_string(&change)?,
+            expected: Some(0),
+            lease: None,
+        };
+        platform
+            .put(&rule_log::log_key(revision), &body)
+            .await
+            .map_err(io::Error::other)?;
+        Ok(revision)
+    }
+}
