--- a/tests/testenv/src/platform_calls.rs
+++ b/tests/testenv/src/platform_calls.rs
@@ -1,6 +1,7 @@
 //! What a [`test_env::TestEnv`] tells the platform and asks it.
 
 use std::io;
+use std::net;
 use std::time;
 
 use persimmontack::decide::rule_log;
@@ -13,6 +14,9 @@
 use crate::http_call;
 use crate::test_env;
 
+/// Port of a daemon that is not started; nothing listens on the discard port.
+const NO_LISTENER: u16 = 9;
+
 impl test_env::TestEnv {
     /// Marks a VM or an upstream as leaving, or not, in the platform's lists.
     ///
@@ -61,13 +65,14 @@
             .await
     }
 
-    /// Posts the VM list to the platform; empty unless all daemons are started.
+    /// Posts the VM list to the platform; with unreachable addresses for daemons that
+    /// are not started.
     ///
     /// # Errors
     ///
     /// Fails if the platform does not answer.
     pub async fn post_vms(&self) -> io::Result<()> {
-        if self.plan.daemons != env_plan::DaemonSet::All {
+        if self.plan.daemons == env_plan::DaemonSet::None {
             return Ok(());
         }
         let vms = self
@@ -75,6 +80,9 @@
             .iter()
             .map(|place| {
                 let link = |daemon: &str| {
+                    if self.plan.daemons == env_plan::DaemonSet::Keepers && daemon != "keeper" {
+                        return Ok(net::SocketAddr::new(place.source, NO_LISTENER));
+                    }
                     self.address_for_others(&format!("{}-{daemon}", place.vm), "link")
                 };
                 Ok(vm_record::VmRecord {
