Fix a self-deadlock in the gossip and count silence from when a probe is due

Silence was counted from the start of a probe that the upstream may hold for 200 ms, so a pause of 440 ms replaced a primary.

--- a/src/keeper/gossip_task.rs
+++ b/src/keeper/gossip_task.rs
@@ -242,9 +242,13 @@
         let asked: gossip::GossipFrame = reader.expect().await?;
         let (revision, wants) = (asked.rules_revision, asked.wants_tables);
         self.take(asked);
+        // Bound first: the guard would live until the end of the statement below, which locks the
+        // rules again.
+        let rules = self.board.rules().update_for(revision);
+        let tables = wants.then(|| self.tables());
         let frame = gossip::GossipFrame {
-            rules: self.board.rules().update_for(revision),
-            tables: wants.then(|| self.tables()),
+            rules,
+            tables,
             ..self.digest()
         };
         writer.send_last(&frame).await?;
--- a/src/keeper/prober.rs
+++ b/src/keeper/prober.rs
@@ -140,8 +140,9 @@
     async fn poll(&self, control: upstream_control::UpstreamControl, version: u64) -> ProbeAnswer {
         let wait = time::Duration::from_millis(self.times.probe_wait_ms);
         let recheck = time::Duration::from_millis(self.times.recheck_ms);
-        let rest = self.silence().saturating_sub(recheck);
-        let until = tokio::time::Instant::now() + self.silence();
+        // The upstream may hold the probe for `wait`; silence counts from there.
+        let rest = (wait + self.silence()).saturating_sub(recheck);
+        let until = tokio::time::Instant::now() + wait + self.silence();
         let state = {
             let answer = control.wait(version, wait);
             tokio::pin!(answer);
