--- a/src/pool/daemon.rs
+++ b/src/pool/daemon.rs
@@ -59,7 +59,8 @@
     event::info("stopping", &[]);
     table.stop();
     let limit = time::Duration::from_millis(settings.limits.stop_ms);
-    let idle = tokio::time::timeout(limit, table.wait_idle()).await;
+    let quiet = time::Duration::from_millis(settings.limits.quiet_ms);
+    let idle = tokio::time::timeout(limit, table.wait_idle(quiet)).await;
     event::info("stopped", &[("units_cut_off", &idle.is_err())]);
     server.abort();
     tables.abort();
--- a/src/pool/pool_settings.rs
+++ b/src/pool/pool_settings.rs
@@ -28,6 +28,8 @@
     pub connect_ms: u64,
     /// Longest time for which running units are waited for at a stop.
     pub stop_ms: u64,
+    /// Time without units after which a pool that is stopping ends.
+    pub quiet_ms: u64,
     /// Batches that may wait for a slot of one upstream.
     pub max_waiting: usize,
     /// Idle connections kept open ahead of demand for each upstream.
@@ -39,6 +41,7 @@
         Self {
             connect_ms: 1_000,
             stop_ms: 30_000,
+            quiet_ms: 500,
             max_waiting: 1_000,
             warm_connections: 2,
         }
--- a/src/pool/upstream_table.rs
+++ b/src/pool/upstream_table.rs
@@ -3,6 +3,7 @@
 use std::collections;
 use std::sync;
 use std::sync::atomic;
+use std::time;
 
 use crate::decide::ownership;
 use crate::event;
@@ -25,6 +26,7 @@
     leaving: atomic::AtomicBool,
     stopping: atomic::AtomicBool,
     units: tokio::sync::watch::Sender<u64>,
+    arrivals: atomic::AtomicU64,
     ready: health::ReadyFlag,
 }
 
@@ -60,6 +62,7 @@
             leaving: atomic::AtomicBool::new(false),
             stopping: atomic::AtomicBool::new(false),
             units: tokio::sync::watch::Sender::new(0),
+            arrivals: atomic::AtomicU64::new(0),
             ready,
         }
     }
@@ -172,16 +175,26 @@
     #[must_use]
     pub fn open_unit(self: &sync::Arc<Self>) -> OpenUnit {
         self.units.send_modify(|units| *units += 1);
+        self.arrivals.fetch_add(1, atomic::Ordering::Relaxed);
         OpenUnit {
             table: sync::Arc::clone(self),
         }
     }
 
-    /// Completes once no unit is open.
-    pub async fn wait_idle(&self) {
+    /// Completes once no unit has been open and none has arrived for `quiet`. Entries that have not
+    /// heard yet that the pool is leaving get their refusals within that time, and answers on
+    /// their way out reach the network.
+    pub async fn wait_idle(&self, quiet: time::Duration) {
         let mut units = self.units.subscribe();
-        // The sender lives as long as this table.
-        drop(units.wait_for(|units| *units == 0).await);
+        loop {
+            // The sender lives as long as this table.
+            drop(units.wait_for(|units| *units == 0).await);
+            let arrivals = self.arrivals.load(atomic::Ordering::Relaxed);
+            tokio::time::sleep(quiet).await;
+            if self.arrivals.load(atomic::Ordering::Relaxed) == arrivals {
+                return;
+            }
+        }
     }
 
     /// Returns what the keeper is told.
