--- a/tests/entry.rs
+++ b/tests/entry.rs
@@ -34,13 +34,17 @@
     fn start(program: &str, directory: &std::path::Path, name: &str, text: &str) -> Self {
         let file = directory.join(name);
         std::fs::write(&file, text).expect("settings");
-        let mut child = process::Command::new(program)
-            .arg("--config")
-            .arg(&file)
-            .stderr(process::Stdio::piped())
-            .spawn()
-            .expect("start");
-        let stderr = child.stderr.take().expect("stderr");
+        // The guard is built first, so that a failed start ends the process too.
+        let mut daemon = Self {
+            child: process::Command::new(program)
+                .arg("--config")
+                .arg(&file)
+                .stderr(process::Stdio::piped())
+                .spawn()
+                .expect("start"),
+            addresses: std::collections::HashMap::new(),
+        };
+        let stderr = daemon.child.stderr.take().expect("stderr");
         let (sender, receiver) = sync::mpsc::channel();
         std::thread::spawn(move || {
             for line in std::io::BufReader::new(stderr)
@@ -52,11 +56,10 @@
                 let _unread = sender.send(line);
             }
         });
-        let mut addresses = std::collections::HashMap::new();
         loop {
             let line = receiver.recv_timeout(PATIENCE).expect("the daemon starts");
             if line.contains("event=started") {
-                return Self { child, addresses };
+                return daemon;
             }
             let value = |key: &str| {
                 line.split_whitespace()
@@ -64,7 +67,9 @@
                     .map(str::to_owned)
             };
             if let (Some(what), Some(address)) = (value("what="), value("address=")) {
-                addresses.insert(what, address.parse().expect("an address"));
+                daemon
+                    .addresses
+                    .insert(what, address.parse().expect("an address"));
             }
         }
     }
