--- a/tests/testenv/src/bin/quickstart.rs
+++ b/tests/testenv/src/bin/quickstart.rs
@@ -56,7 +56,7 @@
     )
     .await?;
     expect_value(&env, &first, "r1", "draft").await?;
-    println!("  The replicas lag, and r1 had to see w1.");
+    println!("  Only an upstream that has applied w1 may answer r1.");
     statement(
         &env,
         &first,
