--- a/src/decide/failover.rs
+++ b/src/decide/failover.rs
@@ -3,115 +3,11 @@
 //! `docs/design.md`, "Acknowledged writes survive", gives the rules and the reasons.
 
 use std::collections;
-use std::net;
 use std::time;
 
+use crate::decide::{failover_event, failover_member};
 use crate::model::{ids, log_position, upstream_state};
 
-/// Times of a failover. `now` is always the time since the start of the process.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct FailoverTimes {
-    /// Silence on an open probe after which an upstream counts as down, if a fresh connection
-    /// fails too.
-    pub silence: time::Duration,
-    /// Time that each rank leaves to the one before it.
-    pub rank_delay: time::Duration,
-    /// Time that a candidate with enough fenced upstreams leaves to the others' answers.
-    pub settle: time::Duration,
-    /// Time after which a candidacy is given up.
-    pub candidacy: time::Duration,
-    /// Time that a candidate leaves to a competitor.
-    pub back_off: time::Duration,
-    /// Time after which an upstream that does not follow is told again.
-    pub follow_retry: time::Duration,
-    /// Time within which a planned move has to be done.
-    pub planned: time::Duration,
-}
-
-/// What a probe found.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum ProbeResult {
-    /// The upstream reported its state.
-    Answered(upstream_state::UpstreamState),
-    /// The upstream answered without a state, for instance because it has no free connection.
-    Alive,
-    /// A connect was refused, or the connection was closed at once.
-    Refused,
-    /// An open probe has been silent for this long, and so has a fresh connection.
-    Silent(time::Duration),
-}
-
-/// What happened in the group.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum FailoverEvent {
-    /// A probe ended.
-    Probed(ids::UpstreamId, ProbeResult),
-    /// A fence succeeded; the state is that after it.
-    Fenced(
-        ids::UpstreamId,
-        ids::TermNumber,
-        upstream_state::UpstreamState,
-    ),
-    /// A promotion succeeded.
-    Promoted(
-        ids::UpstreamId,
-        ids::TermNumber,
-        upstream_state::UpstreamState,
-    ),
-    /// An upstream refused to be fenced or promoted, because it has promised a higher term.
-    Overtaken(ids::UpstreamId, ids::TermNumber),
-    /// A fence or a promotion got no answer; it may have taken effect.
-    Unanswered(ids::UpstreamId, ids::TermNumber),
-}
-
-/// What the shell is to do. Every action is answered by one event, but `Follow`, whose effect the
-/// next probe shows.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum FailoverAction {
-    /// Fence an upstream.
-    Fence(ids::UpstreamId, ids::TermNumber),
-    /// Promote an upstream.
-    Promote(ids::UpstreamId, ids::TermNumber),
-    /// Make an upstream follow the primary of a term at an address.
-    Follow(ids::UpstreamId, ids::TermNumber, net::SocketAddr),
-}
-
-/// One member of the group, as the platform and the rules describe it.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct MemberSpec {
-    /// The upstream.
-    pub upstream: ids::UpstreamId,
-    /// Its address.
-    pub address: net::SocketAddr,
-    /// True if it leaves or is drained.
-    pub leaving: bool,
-    /// Data centre in which it runs.
-    pub data_centre: ids::DataCentreId,
-    /// Live VMs in its data centre.
-    pub local_vms: usize,
-}
-
-/// State of a planned move.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum MoveOutcome {
-    /// The primary is now this upstream.
-    Done(ids::UpstreamId),
-    /// The move was given up, and why.
-    Failed(String),
-}
-
-#[derive(Clone, Debug)]
-struct MemberView {
-    spec: MemberSpec,
-    state: Option<upstream_state::UpstreamState>,
-    answered: bool,
-    refused: u32,
-    down: bool,
-    follow_sent: Option<time::Duration>,
-    follow_needed: Option<time::Duration>,
-    held_moved: time::Duration,
-}
-
 #[derive(Clone, Debug)]
 struct Candidacy {
     term: ids::TermNumber,
@@ -129,30 +25,27 @@
     until: time::Duration,
 }
 
-/// Refused connects in a row after which an upstream counts as down. One alone may be a restart of
-/// the listener.
-const REFUSALS_TO_DOWN: u32 = 2;
-
 /// The failover decisions of one group on one keeper.
 #[derive(Clone, Debug)]
 pub struct GroupFailover {
-    times: FailoverTimes,
-    members: collections::BTreeMap<ids::UpstreamId, MemberView>,
+    times: failover_event::FailoverTimes,
+    members: collections::BTreeMap<ids::UpstreamId, failover_member::MemberView>,
     rank: usize,
     candidacy: Option<Candidacy>,
     used_term: ids::TermNumber,
     seen_promise: ids::TermNumber,
     unsettled_since: Option<time::Duration>,
     not_before: time::Duration,
+    next_move: time::Duration,
     planned: Option<PlannedMove>,
     move_wanted: Option<time::Duration>,
-    outcome: Option<MoveOutcome>,
+    outcome: Option<failover_event::MoveOutcome>,
 }
 
 impl GroupFailover {
     /// Creates the decisions of a group of which nothing is known.
     #[must_use]
-    pub const fn new(times: FailoverTimes) -> Self {
+    pub const fn new(times: failover_event::FailoverTimes) -> Self {
         Self {
             times,
             members: collections::BTreeMap::new(),
@@ -162,6 +55,7 @@
             seen_promise: 0,
             unsettled_since: None,
             not_before: time::Duration::ZERO,
+            next_move: time::Duration::ZERO,
             planned: None,
             move_wanted: None,
             outcome: None,
@@ -169,7 +63,7 @@
     }
 
     /// Replaces the members and this keeper's place in the order of those that act.
-    pub fn set_members(&mut self, specs: Vec<MemberSpec>, rank: usize) {
+    pub fn set_members(&mut self, specs: Vec<failover_event::MemberSpec>, rank: usize) {
         self.rank = rank;
         let mut old = std::mem::take(&mut self.members);
         for spec in specs {
@@ -177,17 +71,11 @@
                 .remove(&spec.upstream)
                 .filter(|view| view.spec.address == spec.address);
             let view = match view {
-                Some(view) => MemberView { spec, ..view },
-                None => MemberView {
-                    spec,
-                    state: None,
-                    answered: false,
-                    refused: 0,
-                    down: false,
-                    follow_sent: None,
-                    follow_needed: None,
-                    held_moved: time::Duration::ZERO,
-                },
+                Some(mut view) => {
+                    view.spec = spec;
+                    view
+                }
+                None => failover_member::MemberView::new(spec),
             };
             self.members.insert(view.spec.upstream.clone(), view);
         }
@@ -219,15 +107,24 @@
     }
 
     /// Takes the outcome of the last planned move, once it is known.
-    pub fn take_outcome(&mut self) -> Option<MoveOutcome> {
+    pub fn take_outcome(&mut self) -> Option<failover_event::MoveOutcome> {
         self.outcome.take()
     }
 
     /// Takes an event in. `jitter` is a fresh random time of at most the rank delay.
-    pub fn handle(&mut self, event: FailoverEvent, now: time::Duration, jitter: time::Duration) {
+    pub fn handle(
+        &mut self,
+        event: failover_event::FailoverEvent,
+        now: time::Duration,
+        jitter: time::Duration,
+    ) {
         match event {
-            FailoverEvent::Probed(upstream, result) => self.take_probe(&upstream, result, now),
-            FailoverEvent::Fenced(upstream, term, state) => {
+            failover_event::FailoverEvent::Probed(upstream, result) => {
+                if let Some(view) = self.members.get_mut(&upstream) {
+                    view.take_probe(result, now, self.times.silence);
+                }
+            }
+            failover_event::FailoverEvent::Fenced(upstream, term, state) => {
                 let held = state.held;
                 let exact = state.promised == term;
                 self.take_state(&upstream, state, now);
@@ -238,19 +135,19 @@
                     }
                 }
             }
-            FailoverEvent::Promoted(upstream, term, state) => {
+            failover_event::FailoverEvent::Promoted(upstream, term, state) => {
                 self.take_state(&upstream, state, now);
                 if self.own_candidacy(term).is_some() {
                     self.candidacy = None;
                 }
             }
-            FailoverEvent::Overtaken(_, term) => {
+            failover_event::FailoverEvent::Overtaken(_, term) => {
                 if self.own_candidacy(term).is_some() {
                     self.candidacy = None;
                     self.not_before = now + self.times.back_off + jitter;
                 }
             }
-            FailoverEvent::Unanswered(upstream, term) => {
+            failover_event::FailoverEvent::Unanswered(upstream, term) => {
                 if let Some(candidacy) = self.own_candidacy(term) {
                     candidacy.waiting.remove(&upstream);
                 }
@@ -273,50 +170,15 @@
             .filter(|candidacy| candidacy.term == term)
     }
 
-    fn take_probe(&mut self, upstream: &str, result: ProbeResult, now: time::Duration) {
-        let silence = self.times.silence;
-        match result {
-            ProbeResult::Answered(state) => self.take_state(upstream, state, now),
-            ProbeResult::Alive => {
-                if let Some(view) = self.members.get_mut(upstream) {
-                    view.refused = 0;
-                    view.down = false;
-                }
-            }
-            ProbeResult::Refused => {
-                if let Some(view) = self.members.get_mut(upstream) {
-                    view.refused = view.refused.saturating_add(1);
-                    view.down = view.down || view.refused >= REFUSALS_TO_DOWN;
-                }
-            }
-            ProbeResult::Silent(lasting) => {
-                if let Some(view) = self.members.get_mut(upstream) {
-                    view.down = view.down || lasting >= silence;
-                }
-            }
-        }
-    }
-
     fn take_state(
         &mut self,
         upstream: &str,
         state: upstream_state::UpstreamState,
         now: time::Duration,
     ) {
-        let Some(view) = self.members.get_mut(upstream) else {
-            return;
-        };
-        view.refused = 0;
-        view.down = false;
-        view.answered = true;
-        let known = view.state.as_ref();
-        if known.is_some_and(|known| !state.is_newer_than(known)) {
-            return;
+        if let Some(view) = self.members.get_mut(upstream) {
+            view.take_state(state, now);
         }
-        if known.is_none_or(|known| known.held != state.held) {
-            view.held_moved = now;
-        }
-        view.state = Some(state);
     }
 
     fn states(
@@ -347,7 +209,11 @@
     }
 
     /// Returns what is to be done now. `jitter` is a fresh random time of at most the rank delay.
-    pub fn tick(&mut self, now: time::Duration, jitter: time::Duration) -> Vec<FailoverAction> {
+    pub fn tick(
+        &mut self,
+        now: time::Duration,
+        jitter: time::Duration,
+    ) -> Vec<failover_event::FailoverAction> {
         self.check_move(now);
         if let Some(candidacy) = &self.candidacy {
             if now > candidacy.since + self.times.candidacy {
@@ -399,7 +265,7 @@
         targets: Vec<ids::UpstreamId>,
         wanted: Option<ids::UpstreamId>,
         now: time::Duration,
-    ) -> Vec<FailoverAction> {
+    ) -> Vec<failover_event::FailoverAction> {
         // A term is used by one candidacy only, also by this keeper.
         let term = self.highest_promise().max(self.used_term) + 1;
         self.used_term = term;
@@ -413,7 +279,7 @@
         });
         targets
             .into_iter()
-            .map(|upstream| FailoverAction::Fence(upstream, term))
+            .map(|upstream| failover_event::FailoverAction::Fence(upstream, term))
             .collect()
     }
 
@@ -421,7 +287,7 @@
         &mut self,
         now: time::Duration,
         jitter: time::Duration,
-    ) -> Vec<FailoverAction> {
+    ) -> Vec<failover_event::FailoverAction> {
         let majority = self.majority();
         let Some(candidacy) = &self.candidacy else {
             return Vec::new();
@@ -464,7 +330,7 @@
         if let Some(candidacy) = &mut self.candidacy {
             candidacy.promoting = Some(best.clone());
         }
-        vec![FailoverAction::Promote(best, term)]
+        vec![failover_event::FailoverAction::Promote(best, term)]
     }
 
     fn check_move(&mut self, now: time::Duration) {
@@ -479,18 +345,18 @@
                 None => primary.is_some() && primary != planned.from,
             };
         if arrived && let Some(primary) = primary {
-            self.outcome = Some(MoveOutcome::Done(primary));
+            self.outcome = Some(failover_event::MoveOutcome::Done(primary));
             self.planned = None;
         } else if now > planned.until {
             let target = planned.target.as_deref().unwrap_or("any other upstream");
             let text = format!("{target} did not catch up and become the primary in time");
-            self.outcome = Some(MoveOutcome::Failed(text));
+            self.outcome = Some(failover_event::MoveOutcome::Failed(text));
             self.planned = None;
         }
     }
 
     /// Starts a planned move, or one away from a primary that is leaving.
-    fn start_planned(&mut self, now: time::Duration) -> Vec<FailoverAction> {
+    fn start_planned(&mut self, now: time::Duration) -> Vec<failover_event::FailoverAction> {
         let Some((primary, _)) = self.primary() else {
             return Vec::new();
         };
@@ -511,7 +377,7 @@
             Some(_) => time::Duration::ZERO,
             None => self.times.planned.saturating_mul(rank),
         };
-        if now < self.not_before.max(wanted + patience) {
+        if now < self.next_move.max(self.not_before).max(wanted + patience) {
             return Vec::new();
         }
         let named = self
@@ -520,7 +386,11 @@
             .and_then(|planned| planned.target.clone());
         // The old primary stays unfenced until the new one is there: it goes on accepting writes,
         // of which none can be acknowledged once both others are fenced.
-        let others: Vec<(ids::UpstreamId, &MemberView, log_position::LogPosition)> = self
+        let others: Vec<(
+            ids::UpstreamId,
+            &failover_member::MemberView,
+            log_position::LogPosition,
+        )> = self
             .members
             .iter()
             .filter(|(upstream, view)| **upstream != primary && view.answered && !view.down)
@@ -559,13 +429,14 @@
             .into_iter()
             .map(|(upstream, _, _)| upstream)
             .collect();
-        // A move that ends at another upstream is tried again after this time.
-        self.not_before = now + self.times.follow_retry;
+        // A move that ends at another upstream is tried again after this time. A failover does not
+        // wait for it.
+        self.next_move = now + self.times.follow_retry;
         self.stand(targets, Some(target), now)
     }
 
     /// Makes every upstream that does not follow the primary follow it.
-    fn order_follows(&mut self, now: time::Duration) -> Vec<FailoverAction> {
+    fn order_follows(&mut self, now: time::Duration) -> Vec<failover_event::FailoverAction> {
         let Some((primary, term)) = self.primary() else {
             return Vec::new();
         };
@@ -602,7 +473,11 @@
                 continue;
             }
             view.follow_sent = Some(now);
-            actions.push(FailoverAction::Follow(upstream.clone(), term, address));
+            actions.push(failover_event::FailoverAction::Follow(
+                upstream.clone(),
+                term,
+                address,
+            ));
         }
         actions
     }
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -2,6 +2,8 @@
 //! clock or a random source, so that tests and the load program can drive it.
 
 pub mod failover;
+pub mod failover_event;
+mod failover_member;
 pub mod lease;
 pub mod membership;
 pub mod ownership;
--- a/src/keeper/control_answers.rs
+++ b/src/keeper/control_answers.rs
@@ -4,7 +4,7 @@
 use std::sync;
 
 use crate::blackboard::control_board;
-use crate::decide::{failover, lease};
+use crate::decide::{failover_event, lease};
 use crate::dial;
 use crate::event;
 use crate::keeper::daemon;
@@ -163,10 +163,10 @@
         event::info("move_requested", &[("group", &group)]);
         if let Some(outcome) = self.groups.move_primary(&group, target.clone()).await {
             return match outcome {
-                failover::MoveOutcome::Done(upstream) => control::ControlReply::Done(format!(
-                    "{upstream} is the primary of group {group}"
-                )),
-                failover::MoveOutcome::Failed(cause) => control::ControlReply::Failed(cause),
+                failover_event::MoveOutcome::Done(upstream) => control::ControlReply::Done(
+                    format!("{upstream} is the primary of group {group}"),
+                ),
+                failover_event::MoveOutcome::Failed(cause) => control::ControlReply::Failed(cause),
             };
         }
         if !from_keeper {
--- a/src/keeper/group_supervisor.rs
+++ b/src/keeper/group_supervisor.rs
@@ -4,7 +4,7 @@
 use std::sync;
 use std::time;
 
-use crate::decide::{failover, lease};
+use crate::decide::{failover_event, lease};
 use crate::event;
 use crate::keeper::group_worker;
 use crate::model::{control_tables, group_spec, ids};
@@ -54,12 +54,13 @@
         &self,
         group: &str,
         target: Option<ids::UpstreamId>,
-    ) -> Option<failover::MoveOutcome> {
+    ) -> Option<failover_event::MoveOutcome> {
         let moves = self.lock().get(group)?.moves.clone();
         let (reply, outcome) = tokio::sync::oneshot::channel();
         let request = group_worker::MoveRequest { target, reply };
         moves.send(request).await.ok()?;
-        let lost = || failover::MoveOutcome::Failed("another request replaced this one".to_owned());
+        let lost =
+            || failover_event::MoveOutcome::Failed("another request replaced this one".to_owned());
         Some(outcome.await.unwrap_or_else(|_closed| lost()))
     }
 
@@ -115,11 +116,11 @@
     group: &group_spec::GroupSpec,
     tables: &control_tables::ControlTables,
     rules: &rule_set::RuleSet,
-) -> Vec<failover::MemberSpec> {
+) -> Vec<failover_event::MemberSpec> {
     group
         .upstreams
         .iter()
-        .map(|spec| failover::MemberSpec {
+        .map(|spec| failover_event::MemberSpec {
             upstream: spec.upstream.clone(),
             address: spec.address,
             leaving: spec.leaving || rules.drains_upstream(&spec.upstream),
--- a/src/keeper/group_worker.rs
+++ b/src/keeper/group_worker.rs
@@ -5,7 +5,7 @@
 use std::time;
 
 use crate::blackboard::control_board;
-use crate::decide::failover;
+use crate::decide::{failover, failover_event};
 use crate::dial;
 use crate::event;
 use crate::keeper::prober;
@@ -26,7 +26,7 @@
     /// The group.
     pub group: group_spec::GroupSpec,
     /// Members as the decisions see them.
-    pub members: Vec<failover::MemberSpec>,
+    pub members: Vec<failover_event::MemberSpec>,
     /// Place of this keeper among those that act.
     pub rank: usize,
     /// VM that holds the lease of the group's shard.
@@ -39,7 +39,7 @@
     /// Wanted primary.
     pub target: Option<ids::UpstreamId>,
     /// Where the outcome goes.
-    pub reply: tokio::sync::oneshot::Sender<failover::MoveOutcome>,
+    pub reply: tokio::sync::oneshot::Sender<failover_event::MoveOutcome>,
 }
 
 /// What the worker needs besides its assignment.
@@ -62,7 +62,7 @@
     sender: prober::ProbeSender,
     probers:
         collections::BTreeMap<ids::UpstreamId, (std::net::SocketAddr, tokio::task::AbortHandle)>,
-    move_reply: Option<tokio::sync::oneshot::Sender<failover::MoveOutcome>>,
+    move_reply: Option<tokio::sync::oneshot::Sender<failover_event::MoveOutcome>>,
     announced: (Option<ids::UpstreamId>, ids::TermNumber),
 }
 
@@ -181,12 +181,14 @@
         self.report();
     }
 
-    fn carry_out(&self, action: failover::FailoverAction) {
+    fn carry_out(&self, action: failover_event::FailoverAction) {
         let group = &self.assignment.group.group;
         let (name, upstream, term) = match &action {
-            failover::FailoverAction::Fence(upstream, term) => ("fence", upstream, *term),
-            failover::FailoverAction::Promote(upstream, term) => ("promote", upstream, *term),
-            failover::FailoverAction::Follow(upstream, term, _) => ("follow", upstream, *term),
+            failover_event::FailoverAction::Fence(upstream, term) => ("fence", upstream, *term),
+            failover_event::FailoverAction::Promote(upstream, term) => ("promote", upstream, *term),
+            failover_event::FailoverAction::Follow(upstream, term, _) => {
+                ("follow", upstream, *term)
+            }
         };
         event::info(
             "failover_step",
@@ -229,9 +231,9 @@
                 )
                 .await?;
                 match &action {
-                    failover::FailoverAction::Fence(..) => link.fence(term).await,
-                    failover::FailoverAction::Promote(..) => link.promote(term).await,
-                    failover::FailoverAction::Follow(_, _, primary) => {
+                    failover_event::FailoverAction::Fence(..) => link.fence(term).await,
+                    failover_event::FailoverAction::Promote(..) => link.promote(term).await,
+                    failover_event::FailoverAction::Follow(_, _, primary) => {
                         link.follow(term, *primary).await
                     }
                 }
@@ -239,15 +241,17 @@
             let result = tokio::time::timeout(timeout, step)
                 .await
                 .unwrap_or(Err(upstream_control::ControlError::Silent));
-            let follows = matches!(action, failover::FailoverAction::Follow(..));
-            let promotes = matches!(action, failover::FailoverAction::Promote(..));
+            let follows = matches!(action, failover_event::FailoverAction::Follow(..));
+            let promotes = matches!(action, failover_event::FailoverAction::Promote(..));
             let found = match result {
-                Ok(state) if follows => failover::FailoverEvent::Probed(
+                Ok(state) if follows => failover_event::FailoverEvent::Probed(
                     upstream,
-                    failover::ProbeResult::Answered(state),
+                    failover_event::ProbeResult::Answered(state),
                 ),
-                Ok(state) if promotes => failover::FailoverEvent::Promoted(upstream, term, state),
-                Ok(state) => failover::FailoverEvent::Fenced(upstream, term, state),
+                Ok(state) if promotes => {
+                    failover_event::FailoverEvent::Promoted(upstream, term, state)
+                }
+                Ok(state) => failover_event::FailoverEvent::Fenced(upstream, term, state),
                 Err(error) => {
                     event::warn(
                         "failover_step_failed",
@@ -263,9 +267,9 @@
                         upstream_control::ControlError::Answered { code, .. }
                             if code == PROMISED_HIGHER =>
                         {
-                            failover::FailoverEvent::Overtaken(upstream, term)
+                            failover_event::FailoverEvent::Overtaken(upstream, term)
                         }
-                        _ => failover::FailoverEvent::Unanswered(upstream, term),
+                        _ => failover_event::FailoverEvent::Unanswered(upstream, term),
                     }
                 }
             };
--- a/src/keeper/prober.rs
+++ b/src/keeper/prober.rs
@@ -4,7 +4,7 @@
 use std::net;
 use std::time;
 
-use crate::decide::failover;
+use crate::decide::failover_event;
 use crate::dial;
 use crate::event;
 use crate::keeper::settings;
@@ -35,7 +35,7 @@
 const IDLE_PAUSE: time::Duration = time::Duration::from_millis(250);
 
 /// Where the results go.
-pub type ProbeSender = tokio::sync::mpsc::Sender<failover::FailoverEvent>;
+pub type ProbeSender = tokio::sync::mpsc::Sender<failover_event::FailoverEvent>;
 
 impl ProbeTarget {
     async fn connect(
@@ -70,7 +70,7 @@
                 Ok((control, state)) => {
                     silent_since = None;
                     link = Some((control, state.version));
-                    failover::ProbeResult::Answered(state)
+                    failover_event::ProbeResult::Answered(state)
                 }
                 Err(error) => {
                     let peer = self.address;
@@ -84,31 +84,31 @@
                     );
                     match error {
                         upstream_control::ControlError::Refused { .. } => {
-                            failover::ProbeResult::Refused
+                            failover_event::ProbeResult::Refused
                         }
                         upstream_control::ControlError::Silent => {
                             let since = *silent_since.get_or_insert(begun);
-                            failover::ProbeResult::Silent(since.elapsed())
+                            failover_event::ProbeResult::Silent(since.elapsed())
                         }
                         upstream_control::ControlError::Answered { .. }
                         | upstream_control::ControlError::Unreadable { .. } => {
                             silent_since = None;
-                            failover::ProbeResult::Alive
+                            failover_event::ProbeResult::Alive
                         }
                     }
                 }
             };
             let pause = match outcome {
-                failover::ProbeResult::Answered(_) => {
+                failover_event::ProbeResult::Answered(_) => {
                     failures = 0;
                     None
                 }
-                failover::ProbeResult::Alive => Some(IDLE_PAUSE),
+                failover_event::ProbeResult::Alive => Some(IDLE_PAUSE),
                 _ if failures >= QUICK_RETRIES => Some(IDLE_PAUSE),
                 _ => Some(time::Duration::from_millis(self.times.reconnect_ms)),
             };
             failures += u32::from(pause.is_some());
-            let probed = failover::FailoverEvent::Probed(self.upstream.clone(), outcome);
+            let probed = failover_event::FailoverEvent::Probed(self.upstream.clone(), outcome);
             if sender.send(probed).await.is_err() {
                 return;
             }
--- a/src/keeper/settings.rs
+++ b/src/keeper/settings.rs
@@ -5,7 +5,7 @@
 
 use serde::Deserialize;
 
-use crate::decide::failover;
+use crate::decide::failover_event;
 use crate::model::ids;
 
 /// Account with which the keeper logs in to upstreams.
@@ -68,8 +68,8 @@
 impl FailoverSettings {
     /// Returns the times of the decisions.
     #[must_use]
-    pub const fn times(&self) -> failover::FailoverTimes {
-        failover::FailoverTimes {
+    pub const fn times(&self) -> failover_event::FailoverTimes {
+        failover_event::FailoverTimes {
             silence: time::Duration::from_millis(self.silence_ms),
             rank_delay: time::Duration::from_millis(self.rank_delay_ms),
             settle: time::Duration::from_millis(self.settle_ms),
--- a/tests/failover.rs
+++ b/tests/failover.rs
@@ -5,10 +5,10 @@
 use std::time;
 
 use arbtest::arbitrary;
-use persimmontack::decide::failover;
+use persimmontack::decide::{failover, failover_event};
 use persimmontack::model::{log_position, upstream_state};
 
-const TIMES: failover::FailoverTimes = failover::FailoverTimes {
+const TIMES: failover_event::FailoverTimes = failover_event::FailoverTimes {
     silence: time::Duration::from_millis(600),
     rank_delay: time::Duration::from_millis(250),
     settle: time::Duration::from_millis(60),
@@ -93,14 +93,14 @@
 #[derive(Clone, Debug)]
 struct Message {
     keeper: usize,
-    action: failover::FailoverAction,
+    action: failover_event::FailoverAction,
 }
 
 struct World {
     upstreams: Vec<Upstream>,
     keepers: Vec<failover::GroupFailover>,
     actions: Vec<Message>,
-    answers: Vec<(usize, failover::FailoverEvent)>,
+    answers: Vec<(usize, failover_event::FailoverEvent)>,
     acknowledged: collections::BTreeMap<u64, (u64, usize)>,
     primaries: collections::BTreeMap<u64, usize>,
     writes: u64,
@@ -114,9 +114,9 @@
         .expect("known upstream")
 }
 
-fn specs(leaving: Option<usize>) -> Vec<failover::MemberSpec> {
+fn specs(leaving: Option<usize>) -> Vec<failover_event::MemberSpec> {
     (0..3)
-        .map(|index| failover::MemberSpec {
+        .map(|index| failover_event::MemberSpec {
             upstream: NAMES[index].to_owned(),
             address: ([127, 0, 0, 1], 5_000 + index as u16).into(),
             leaving: leaving == Some(index),
@@ -154,14 +154,14 @@
 
     fn probe(&mut self, keeper: usize, upstream: usize) {
         let state = self.upstreams[upstream].state();
-        let result = failover::ProbeResult::Answered(state);
-        let event = failover::FailoverEvent::Probed(NAMES[upstream].to_owned(), result);
+        let result = failover_event::ProbeResult::Answered(state);
+        let event = failover_event::FailoverEvent::Probed(NAMES[upstream].to_owned(), result);
         self.answers.push((keeper, event));
     }
 
     fn report_down(&mut self, keeper: usize, upstream: usize) {
-        let result = failover::ProbeResult::Silent(TIMES.silence);
-        let event = failover::FailoverEvent::Probed(NAMES[upstream].to_owned(), result);
+        let result = failover_event::ProbeResult::Silent(TIMES.silence);
+        let event = failover_event::FailoverEvent::Probed(NAMES[upstream].to_owned(), result);
         self.answers.push((keeper, event));
     }
 
@@ -169,20 +169,20 @@
     fn deliver(&mut self, message: Message) {
         let keeper = message.keeper;
         match message.action {
-            failover::FailoverAction::Fence(name, term) => {
+            failover_event::FailoverAction::Fence(name, term) => {
                 let upstream = &mut self.upstreams[index_of(&name)];
                 let done = upstream.fence(term);
                 let state = upstream.state();
                 self.answers.push((
                     keeper,
                     if done {
-                        failover::FailoverEvent::Fenced(name, term, state)
+                        failover_event::FailoverEvent::Fenced(name, term, state)
                     } else {
-                        failover::FailoverEvent::Overtaken(name, term)
+                        failover_event::FailoverEvent::Overtaken(name, term)
                     },
                 ));
             }
-            failover::FailoverAction::Promote(name, term) => {
+            failover_event::FailoverAction::Promote(name, term) => {
                 let index = index_of(&name);
                 let upstream = &mut self.upstreams[index];
                 let done = upstream.promote(term);
@@ -195,13 +195,13 @@
                 self.answers.push((
                     keeper,
                     if done {
-                        failover::FailoverEvent::Promoted(name, term, state)
+                        failover_event::FailoverEvent::Promoted(name, term, state)
                     } else {
-                        failover::FailoverEvent::Overtaken(name, term)
+                        failover_event::FailoverEvent::Overtaken(name, term)
                     },
                 ));
             }
-            failover::FailoverAction::Follow(name, term, address) => {
+            failover_event::FailoverAction::Follow(name, term, address) => {
                 let primary = usize::from(address.port() - 5_000);
                 assert_eq!(
                     self.primaries.get(&term),
@@ -279,7 +279,12 @@
         }
     }
 
-    fn handle(&mut self, keeper: usize, event: failover::FailoverEvent, jitter: time::Duration) {
+    fn handle(
+        &mut self,
+        keeper: usize,
+        event: failover_event::FailoverEvent,
+        jitter: time::Duration,
+    ) {
         self.keepers[keeper].handle(event, self.now, jitter);
     }
 
@@ -305,9 +310,9 @@
                 self.tick(keeper, jitter);
             }
             for message in std::mem::take(&mut self.actions) {
-                let (failover::FailoverAction::Fence(name, _)
-                | failover::FailoverAction::Promote(name, _)
-                | failover::FailoverAction::Follow(name, _, _)) = &message.action;
+                let (failover_event::FailoverAction::Fence(name, _)
+                | failover_event::FailoverAction::Promote(name, _)
+                | failover_event::FailoverAction::Follow(name, _, _)) = &message.action;
                 if Some(index_of(name)) != down {
                     self.deliver(message);
                 }
@@ -425,12 +430,12 @@
     let primary = world.primary().expect("a primary");
     let name = NAMES[primary].to_owned();
     for result in [
-        failover::ProbeResult::Silent(TIMES.silence / 2),
-        failover::ProbeResult::Refused,
-        failover::ProbeResult::Alive,
-        failover::ProbeResult::Refused,
+        failover_event::ProbeResult::Silent(TIMES.silence / 2),
+        failover_event::ProbeResult::Refused,
+        failover_event::ProbeResult::Alive,
+        failover_event::ProbeResult::Refused,
     ] {
-        let event = failover::FailoverEvent::Probed(name.clone(), result);
+        let event = failover_event::FailoverEvent::Probed(name.clone(), result);
         world.handle(0, event, time::Duration::ZERO);
         world.now += time::Duration::from_secs(1);
         world.tick(0, time::Duration::ZERO);
@@ -471,7 +476,7 @@
     let outcome = world.keepers[0].take_outcome();
     assert_eq!(
         outcome,
-        Some(failover::MoveOutcome::Done(NAMES[target].to_owned()))
+        Some(failover_event::MoveOutcome::Done(NAMES[target].to_owned()))
     );
     assert!(world.upstreams[target].log.iter().any(|entry| entry.1 == 1));
 }
