--- a/src/bin/persimmon-entry.rs
+++ b/src/bin/persimmon-entry.rs
@@ -1,2 +1,5 @@
-//! Placeholder.
-fn main() {}
+//! `persimmon-entry`: accepts callers and routes their statements.
+
+fn main() -> std::process::ExitCode {
+    persimmontack::entry::run().into()
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,8 +6,10 @@
 
 pub mod blackboard;
 pub mod counters;
+pub mod ctl;
 pub mod decide;
 pub mod dial;
+pub mod entry;
 pub mod event;
 pub mod exit_code;
 pub mod health;
@@ -15,5 +17,7 @@
 pub mod link;
 pub mod model;
 pub mod platform;
+pub mod pool;
 pub mod rules;
 pub mod shutdown;
+pub mod sql;
