--- a/tests/ctl.rs
+++ b/tests/ctl.rs
@@ -407,6 +407,27 @@
         .assert_failed(1, &["no rule drains upstream=ledger-2"]);
 }
 
+/// Guards against a drain that is given up because another change came first.
+#[tokio::test]
+async fn a_drain_that_loses_a_race_is_tried_again() {
+    let platform = PlatformProcess::start();
+    platform.post("/admin/groups", &groups());
+    let mut relay = PutRelay::start(platform.address, PutFault::Hold).await;
+    let drain = |target| ["drain", target, "--requester", "Desk", "--author", "anna"];
+    let mut first = command(&drain("upstream=ledger-1"));
+    first.env("PERSIMMON_PLATFORM", relay.address.to_string());
+    let race = async {
+        relay.wait_for_put().await;
+        platform.ctl(&drain("upstream=ledger-2")).await.assert_ok();
+        relay.release.send_replace(true);
+    };
+    let (drained, ()) = futures::join!(run(&mut first), race);
+    let stdout = drained.assert_ok().stdout;
+    assert!(stdout.starts_with("revision 2 made by anna\n"), "{stdout}");
+    let text = platform.ctl(&["show"]).await.assert_ok().stdout;
+    assert_eq!(text.lines().count(), 2, "{text}");
+}
+
 /// Guards against a log that can be read only from its start, and against listings that stop at a
 /// hundred revisions.
 #[tokio::test]
