--- /dev/null
+++ b/src/entry/forward.rs
@@ -0,0 +1,474 @@
+//! Runs batches on upstreams: routing, retries, confirmation of commits, outcomes.
+
+use std::pin;
+use std::sync;
+use std::time;
+
+use crate::decide::{confirm, retry_budget};
+use crate::entry::{answer, batch, route, session, unit};
+use crate::link::{batch_request, stream_kind, work_frame, work_reply, work_request};
+use crate::model::{ids, log_position, refusal_reason, retry_reason, sql_state};
+use crate::rules::rule_set;
+use crate::{counters, event};
+
+/// Longest wait without a look at the states of a group whose commit is to be confirmed.
+const CONFIRM_CHECK: time::Duration = time::Duration::from_millis(100);
+/// SQLSTATE of a transaction that is lost with its connection.
+const CONNECTION_FAILURE: &str = "08006";
+
+/// What became of one attempt.
+enum AttemptEnd {
+    /// The caller has its answer; true if it is no error.
+    Answered(bool),
+    /// It did not run, or may run twice.
+    Retry(
+        retry_reason::RetryReason,
+        ids::UpstreamId,
+        route::RouteRefusal,
+    ),
+    /// It ran, and nobody knows how far.
+    Unknown(String),
+}
+
+impl session::CallerSession {
+    /// Runs a batch. Returns false if it failed.
+    pub(super) async fn run_forwarded(
+        &mut self,
+        batch: batch::CallerBatch,
+    ) -> Result<bool, unit::CallerGone> {
+        let cancel = sync::Arc::clone(&self.cancel);
+        let mut cancelled = pin::pin!(cancel.notified());
+        cancelled.as_mut().enable();
+        match std::mem::replace(&mut self.transaction, session::TransactionState::Idle) {
+            session::TransactionState::Open(unit) => {
+                self.run_inside(*unit, &batch, cancelled).await
+            }
+            _ => self.run_outside(&batch, cancelled).await,
+        }
+    }
+
+    fn write_rule(&self, tables: &[String]) -> Option<rule_set::WriteRule> {
+        let active = self.context.tables();
+        active.rules.write_rule(&self.database, tables).cloned()
+    }
+
+    async fn run_outside(
+        &mut self,
+        batch: &batch::CallerBatch,
+        mut cancelled: route::Cancelled<'_, '_>,
+    ) -> Result<bool, unit::CallerGone> {
+        let access = batch.access();
+        let limits = self.context.settings.limits.clone();
+        let started = self.context.now();
+        self.context.budget(self.number).record_request(started);
+        let deadline = started
+            + if access == work_request::WorkAccess::Write {
+                self.write_rule(&batch.tables)
+                    .and_then(|rule| rule.deadline)
+                    .unwrap_or(limits.write_deadline)
+            } else {
+                limits.read_deadline
+            };
+        let floor = if access == work_request::WorkAccess::Read {
+            match self.read_floor(batch, deadline, cancelled.as_mut()).await {
+                Ok(floor) => floor,
+                Err(failure) => return self.refuse(Result::from(failure)?).await,
+            }
+        } else {
+            log_position::LogPosition::default()
+        };
+        let mut avoid = Vec::new();
+        let mut attempt = 0;
+        loop {
+            let found = self
+                .find_route(access, floor, deadline, &avoid, cancelled.as_mut())
+                .await;
+            let (choice, view) = match found {
+                Ok(found) => found,
+                Err(failure) => return self.refuse(Result::from(failure)?).await,
+            };
+            let end = self
+                .attempt(batch, &choice, &view, floor, deadline, cancelled.as_mut())
+                .await?;
+            let (reason, upstream, refusal) = match end {
+                AttemptEnd::Answered(succeeded) => {
+                    metrics::counter!("persimmontack_statements_total", "access" => access.to_string(), "route" => choice.reason.to_string())
+                        .increment(1);
+                    return Ok(succeeded);
+                }
+                AttemptEnd::Unknown(detail) => {
+                    self.end_unknown(&detail).await?;
+                    return Ok(false);
+                }
+                AttemptEnd::Retry(reason, upstream, refusal) => (reason, upstream, refusal),
+            };
+            self.writer.output.clear();
+            let stays = matches!(
+                refusal.reason,
+                refusal_reason::RefusalReason::Cancelled
+                    | refusal_reason::RefusalReason::Deadline
+                    | refusal_reason::RefusalReason::QueueFull
+                    | refusal_reason::RefusalReason::Unsupported
+            );
+            if stays
+                || !self
+                    .wait_for_retry(&mut attempt, deadline, cancelled.as_mut())
+                    .await?
+            {
+                return self.refuse(refusal).await;
+            }
+            counters::count_retry(reason);
+            if access == work_request::WorkAccess::Read && !avoid.contains(&upstream) {
+                avoid.push(upstream);
+                // With every upstream tried once, all of them may be tried again.
+                if avoid.len() >= self.board.views().len() {
+                    avoid.clear();
+                }
+            }
+        }
+    }
+
+    /// Waits until the batch may be sent again. Returns false if it may not within its deadline.
+    async fn wait_for_retry(
+        &mut self,
+        attempt: &mut u32,
+        deadline: time::Duration,
+        mut cancelled: route::Cancelled<'_, '_>,
+    ) -> Result<bool, unit::CallerGone> {
+        loop {
+            *attempt += 1;
+            let pause = retry_budget::back_off(*attempt, rand::random());
+            if self.context.now() + pause >= deadline {
+                return Ok(false);
+            }
+            tokio::select! {
+                () = tokio::time::sleep(pause) => {}
+                () = &mut cancelled => return Ok(false),
+                () = self.reader.gone() => return Err(unit::CallerGone),
+            }
+            let now = self.context.now();
+            if self.context.budget(self.number).take_retry(now) {
+                return Ok(true);
+            }
+        }
+    }
+
+    async fn attempt(
+        &mut self,
+        batch: &batch::CallerBatch,
+        choice: &crate::decide::routing::RouteChoice,
+        view: &crate::decide::routing::UpstreamView,
+        floor: log_position::LogPosition,
+        deadline: time::Duration,
+        cancelled: route::Cancelled<'_, '_>,
+    ) -> Result<AttemptEnd, unit::CallerGone> {
+        let access = batch.access();
+        let request = self.context.next_request();
+        let open = work_frame::WorkFrame::Open(work_request::WorkRequest {
+            request,
+            upstream: choice.upstream.clone(),
+            database: self.database.clone(),
+            customer: self.customer.clone(),
+            access,
+            min_applied: (access == work_request::WorkAccess::Read).then_some(floor),
+            term: choice.term,
+        });
+        let hold = access == work_request::WorkAccess::Write && batch.executes;
+        let work = work_frame::WorkFrame::Batch(self.request(batch, request, deadline, hold));
+        let mut opened = None;
+        for pool in self.context.owners(&view.spec).into_iter().take(2) {
+            let Ok((mut writer, reader)) = pool.open(stream_kind::StreamKind::Work).await else {
+                continue;
+            };
+            // A pool runs a batch only once its frame is whole, so a failure here means not run.
+            if writer.send(&open).await.is_err() || writer.send(&work).await.is_err() {
+                continue;
+            }
+            opened = Some(unit::WorkUnit {
+                writer,
+                reader,
+                upstream: choice.upstream.clone(),
+                access,
+                pool: pool.vm.clone(),
+                tables: batch.tables.clone(),
+                failed: false,
+            });
+            break;
+        }
+        let Some(mut unit) = opened else {
+            return Ok(AttemptEnd::Retry(
+                retry_reason::RetryReason::PoolUnreachable,
+                choice.upstream.clone(),
+                route::RouteRefusal {
+                    reason: refusal_reason::RefusalReason::Unreachable,
+                    text: "not run: no pool can be reached".to_owned(),
+                    detail: format!("step=open_stream peer={}", choice.upstream),
+                },
+            ));
+        };
+        let (end, sent) = unit
+            .receive(request, &mut self.reader, &mut self.writer, hold, cancelled)
+            .await?;
+        match end {
+            unit::BatchEnd::Done(done) => {
+                let rejected = access == work_request::WorkAccess::Write
+                    && !sent
+                    && !batch.begins()
+                    && done.status == work_reply::TransactionStatus::Idle
+                    && done.sql_state.as_deref() == Some(sql_state::READ_ONLY_UPSTREAM)
+                    && answer::is_error_only([&self.writer.output, &done.tail]);
+                if rejected {
+                    unit.finish();
+                    return Ok(AttemptEnd::Retry(
+                        retry_reason::RetryReason::ReadOnlyUpstream,
+                        choice.upstream.clone(),
+                        route::RouteRefusal {
+                            reason: refusal_reason::RefusalReason::NotPrimary,
+                            text: "not run: the upstream is not the primary".to_owned(),
+                            detail: format!("step=run peer={}", choice.upstream),
+                        },
+                    ));
+                }
+                self.finish_batch(unit, done)
+                    .await
+                    .map(AttemptEnd::Answered)
+            }
+            unit::BatchEnd::Refused(refusal) => Ok(AttemptEnd::Retry(
+                retry_reason::RetryReason::Refused,
+                choice.upstream.clone(),
+                refusal_of(&refusal, &choice.upstream),
+            )),
+            unit::BatchEnd::Broken {
+                step,
+                peer,
+                cause,
+                link,
+            } => {
+                let detail = format!("step={step} peer={peer} cause={cause}");
+                event::warn(
+                    "batch_broken",
+                    &[("upstream", &choice.upstream), ("detail", &detail)],
+                );
+                if batch.is_repeatable() && !sent {
+                    let reason = if link {
+                        retry_reason::RetryReason::LinkBroken
+                    } else {
+                        retry_reason::RetryReason::UpstreamBroken
+                    };
+                    return Ok(AttemptEnd::Retry(
+                        reason,
+                        choice.upstream.clone(),
+                        route::RouteRefusal {
+                            reason: refusal_reason::RefusalReason::Unreachable,
+                            text: "the read was cut off and changed nothing".to_owned(),
+                            detail,
+                        },
+                    ));
+                }
+                if batch.is_repeatable() {
+                    self.end_with_error(
+                        CONNECTION_FAILURE,
+                        "the answer to the read was cut off; it changed nothing",
+                        &detail,
+                    )
+                    .await?;
+                    return Ok(AttemptEnd::Answered(false));
+                }
+                Ok(AttemptEnd::Unknown(detail))
+            }
+        }
+    }
+
+    fn request(
+        &self,
+        batch: &batch::CallerBatch,
+        request: ids::RequestId,
+        deadline: time::Duration,
+        hold_completion: bool,
+    ) -> batch_request::BatchRequest {
+        let long = self.parameters.long.or_else(|| {
+            let tables = self.context.tables();
+            tables.rules.long_rule(&batch.text).map(|_rule| true)
+        });
+        batch_request::BatchRequest {
+            request,
+            messages: bytes::Bytes::copy_from_slice(&batch.messages),
+            fingerprint: batch.fingerprint,
+            long,
+            start_within: deadline.saturating_sub(self.context.now()),
+            silence_limit: self.context.settings.limits.silence,
+            hold_completion,
+            hidden_parses: batch.hidden_parses.clone(),
+        }
+    }
+
+    async fn run_inside(
+        &mut self,
+        mut unit: unit::WorkUnit,
+        batch: &batch::CallerBatch,
+        cancelled: route::Cancelled<'_, '_>,
+    ) -> Result<bool, unit::CallerGone> {
+        let request = self.context.next_request();
+        let now = self.context.now();
+        self.context.budget(self.number).record_request(now);
+        let deadline = now + self.context.settings.limits.write_deadline;
+        let writes = unit.access == work_request::WorkAccess::Write;
+        let hold = writes && batch.may_commit();
+        let work = work_frame::WorkFrame::Batch(self.request(batch, request, deadline, hold));
+        unit.tables.extend(batch.tables.iter().cloned());
+        let end = if let Err(error) = unit.writer.send(&work).await {
+            unit::BatchEnd::Refused(work_reply::WorkRefusal {
+                reason: refusal_reason::RefusalReason::Unreachable,
+                detail: error.to_string(),
+            })
+        } else {
+            let (end, _sent) = unit
+                .receive(request, &mut self.reader, &mut self.writer, hold, cancelled)
+                .await?;
+            end
+        };
+        let lost = if batch.ends() {
+            session::TransactionState::Idle
+        } else {
+            session::TransactionState::Lost
+        };
+        match end {
+            unit::BatchEnd::Done(done) => self.finish_batch(unit, done).await,
+            unit::BatchEnd::Refused(refusal) => {
+                self.transaction = lost;
+                counters::count_refusal(refusal.reason);
+                let state = match refusal.reason.sql_state() {
+                    sql_state::CANNOT_CONNECT_NOW => CONNECTION_FAILURE,
+                    other => other,
+                };
+                let text = format!(
+                    "not run: {}; the transaction was rolled back",
+                    refusal.reason
+                );
+                let detail = format!("step=run peer={} {}", unit.upstream, refusal.detail);
+                self.end_with_error(state, &text, &detail).await?;
+                Ok(false)
+            }
+            unit::BatchEnd::Broken {
+                step, peer, cause, ..
+            } => {
+                self.transaction = lost;
+                let detail = format!("step={step} peer={peer} cause={cause}");
+                event::warn(
+                    "transaction_broken",
+                    &[("upstream", &unit.upstream), ("detail", &detail)],
+                );
+                if hold {
+                    self.end_unknown(&detail).await?;
+                } else {
+                    self.end_with_error(
+                        CONNECTION_FAILURE,
+                        "the transaction was rolled back, because its connection was lost before COMMIT was sent",
+                        &detail,
+                    )
+                    .await?;
+                }
+                Ok(false)
+            }
+        }
+    }
+
+    /// Hands the end of an answer to the caller, once its commit, if any, is confirmed.
+    async fn finish_batch(
+        &mut self,
+        mut unit: unit::WorkUnit,
+        done: work_reply::BatchDone,
+    ) -> Result<bool, unit::CallerGone> {
+        let upstream = unit.upstream.clone();
+        let tables = std::mem::take(&mut unit.tables);
+        match done.status {
+            work_reply::TransactionStatus::Idle => unit.finish(),
+            status => {
+                unit.failed = status == work_reply::TransactionStatus::Failed;
+                unit.tables = tables.clone();
+                self.transaction = session::TransactionState::Open(Box::new(unit));
+            }
+        }
+        if let Some(position) = done.position {
+            let relaxed = self
+                .write_rule(&tables)
+                .is_some_and(|rule| rule.acknowledge == rule_set::AcknowledgeMode::Primary);
+            let verdict = if relaxed {
+                confirm::CommitVerdict::Kept
+            } else {
+                self.wait_for_confirmation(&upstream, position).await?
+            };
+            match verdict {
+                confirm::CommitVerdict::Kept => self.acknowledge(position),
+                confirm::CommitVerdict::Dropped => {
+                    metrics::counter!("persimmontack_commits_dropped_total").increment(1);
+                    self.end_with_error(
+                        sql_state::WRITE_DROPPED,
+                        "the transaction was dropped by a failover and is not kept",
+                        &format!("step=confirm peer={upstream} position={position}"),
+                    )
+                    .await?;
+                    return Ok(false);
+                }
+                confirm::CommitVerdict::Pending => {
+                    let detail = format!("step=confirm peer={upstream} position={position}");
+                    self.end_unknown(&detail).await?;
+                    return Ok(false);
+                }
+            }
+        }
+        self.writer.output.extend_from_slice(&done.tail);
+        self.writer.flush().await?;
+        Ok(done.sql_state.is_none())
+    }
+
+    async fn wait_for_confirmation(
+        &mut self,
+        committer: &str,
+        position: log_position::LogPosition,
+    ) -> Result<confirm::CommitVerdict, unit::CallerGone> {
+        let board = sync::Arc::clone(&self.board);
+        let mut changes = board.subscribe();
+        let deadline = self.context.now() + self.context.settings.limits.confirm_deadline;
+        loop {
+            changes.mark_unchanged();
+            let views = board.views();
+            let states = views.iter().filter_map(|view| view.state.as_ref());
+            let verdict = confirm::judge_commit(committer, position, states);
+            let left = deadline.saturating_sub(self.context.now());
+            if verdict != confirm::CommitVerdict::Pending || left.is_zero() {
+                return Ok(verdict);
+            }
+            tokio::select! {
+                _changed = changes.changed() => {}
+                () = tokio::time::sleep(left.min(CONFIRM_CHECK)) => {}
+                () = self.reader.gone() => return Err(unit::CallerGone),
+            }
+        }
+    }
+
+    async fn end_unknown(&mut self, detail: &str) -> Result<(), unit::CallerGone> {
+        metrics::counter!("persimmontack_outcomes_unknown_total").increment(1);
+        self.end_with_error(
+            sql_state::OUTCOME_UNKNOWN,
+            "outcome unknown: the statement may or may not have run",
+            detail,
+        )
+        .await
+    }
+
+    async fn refuse(&mut self, refusal: route::RouteRefusal) -> Result<bool, unit::CallerGone> {
+        counters::count_refusal(refusal.reason);
+        self.end_with_error(refusal.reason.sql_state(), &refusal.text, &refusal.detail)
+            .await?;
+        Ok(false)
+    }
+}
+
+fn refusal_of(refusal: &work_reply::WorkRefusal, upstream: &str) -> route::RouteRefusal {
+    route::RouteRefusal {
+        reason: refusal.reason,
+        text: format!("not run: the pool refused the batch: {}", refusal.reason),
+        detail: format!("step=open peer={upstream} {}", refusal.detail),
+    }
+}
--- /dev/null
+++ b/src/entry/mod.rs
@@ -0,0 +1,23 @@
+//! The entry: accepts callers and routes their statements.
+
+mod answer;
+mod batch;
+mod board;
+mod cancel_registry;
+mod context;
+mod explain;
+mod forward;
+mod local;
+mod observer;
+mod options;
+mod pool_link;
+mod program;
+mod route;
+mod session;
+mod settings;
+mod startup;
+mod tables_link;
+mod unit;
+mod wire;
+
+pub use program::run;
--- /dev/null
+++ b/src/entry/tables_link.rs
@@ -0,0 +1,50 @@
+//! Follows the control tables of the keeper on the same VM.
+
+use std::sync;
+use std::time;
+
+use crate::entry::context;
+use crate::event;
+use crate::link::{client, link_error, stream_kind};
+use crate::model::control_tables;
+
+/// Pause before another attempt to connect.
+const RECONNECT_PAUSE: time::Duration = time::Duration::from_millis(100);
+/// Time between two reports.
+const REPORT_INTERVAL: time::Duration = time::Duration::from_secs(1);
+
+/// Follows the tables for ever. The last ones stay in force while the keeper is away.
+pub async fn follow(context: sync::Arc<context::EntryContext>) {
+    loop {
+        if let Err(error) = follow_once(&context).await {
+            event::warn("tables_lost", &[("cause", &error)]);
+        }
+        tokio::time::sleep(RECONNECT_PAUSE).await;
+    }
+}
+
+async fn follow_once(
+    context: &sync::Arc<context::EntryContext>,
+) -> Result<(), link_error::LinkError> {
+    let keeper = context.settings.keeper;
+    let client = client::PeerClient::connect(&context.dialer, keeper, &context.hello).await?;
+    let (mut writer, mut reader) = client.open(stream_kind::StreamKind::Tables).await?;
+    let mut ticks = tokio::time::interval(REPORT_INTERVAL);
+    let mut reported = None;
+    loop {
+        tokio::select! {
+            received = reader.next::<control_tables::ControlTables>() => {
+                let Some(tables) = received? else { return Ok(()) };
+                context.replace_tables(tables);
+                let report = context.report();
+                if reported == Some(report.rules_revision) {
+                    continue;
+                }
+                reported = Some(report.rules_revision);
+                event::info("tables_in_force", &[("revision", &report.rules_revision)]);
+                writer.send(&report).await?;
+            }
+            _tick = ticks.tick() => writer.send(&context.report()).await?,
+        }
+    }
+}
