--- a/tests/ctl_peers.rs
+++ b/tests/ctl_peers.rs
@@ -1,4 +1,4 @@
-//! `persimmonctl` against a keeper and an entry that the test plays.
+//! `persimmonctl` against a keeper and an entry that the test plays, and against real daemons.
 
 mod ctl_support;
 
@@ -10,6 +10,7 @@
 use persimmontack::link::{control, hello, program_report, server};
 use persimmontack::model::{refusal_reason, retry_reason};
 use serde_json::json;
+use testenv::{env_plan, test_env, waiting};
 
 type Answer = sync::Arc<dyn Fn(control::ControlRequest) -> control::ControlReply + Send + Sync>;
 
@@ -309,3 +310,61 @@
         .await
         .assert_failed(5, &["step=connect peer=127.0.0.1:1"]);
 }
+
+/// Guards against a command line and daemons that understand a message in different ways.
+#[tokio::test]
+async fn an_operator_reaches_all_daemons() {
+    let plan = env_plan::EnvPlan::new(&[1, 1]).group("ledger", |_index, _upstream| {});
+    let env = test_env::TestEnv::start(plan).await.expect("start");
+    env.wait_ready().await;
+    let address = |name: &str, what: &str| {
+        let address = env.address_for_others(name, what).expect("address");
+        address.to_string()
+    };
+    let platform = address(test_env::PLATFORM, "listen");
+    let ctl = async |arguments: &[&str]| {
+        run(command(arguments).env("PERSIMMON_PLATFORM", &platform)).await
+    };
+    let rules = RulesDirectory::new();
+    let text = env_plan::login_rules("parish", "pencil");
+    let file = rules.write("rules.txt", &text);
+    // The limit only ends a test that would fail; the time is measured elsewhere.
+    let apply = [
+        "apply", &file, "--author", "anna", "--wait", "--limit", "1m",
+    ];
+    let applied = ctl(&apply).await.assert_ok().stdout;
+    assert!(applied.ends_with("is in force on 2 VMs\n"), "{applied}");
+    let status = ctl(&["status", "--json"]).await.assert_ok().json();
+    assert_eq!(status["groups"][0]["group"], "ledger");
+    assert_eq!(status["vms"].as_array().map(Vec::len), Some(2));
+    let entry = address("vm-1-1-entry", "link");
+    let explain = [
+        "explain",
+        "--entry",
+        &entry,
+        "--user",
+        "parish",
+        "--database",
+        "ledger",
+        "SELECT v FROM proofs WHERE k = 'x'",
+    ];
+    let route = ctl(&explain).await.assert_ok().stdout;
+    assert!(
+        route.contains("group     ledger\naccess    read\n"),
+        "{route}"
+    );
+    let old = status["groups"][0]["primary"].as_str().expect("primary");
+    let upstreams = status["groups"][0]["upstreams"].as_array().expect("list");
+    let names = upstreams
+        .iter()
+        .filter_map(|upstream| upstream["upstream"].as_str());
+    let new = names.clone().find(|name| *name != old).expect("a replica");
+    ctl(&["promote", "ledger", new, "--limit", "1m"])
+        .await
+        .assert_ok();
+    waiting::until("the new primary to be seen", async || {
+        let status = ctl(&["status", "--json"]).await.assert_ok().json();
+        status["groups"][0]["primary"] == *new
+    })
+    .await;
+}
