--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -6,6 +6,8 @@
 pub mod customer_lane;
 pub mod customer_terms;
 pub mod failover;
+pub mod failover_event;
+mod failover_member;
 pub mod lease;
 pub mod membership;
 pub mod ownership;
