--- a/src/decide/failover.rs
+++ b/src/decide/failover.rs
@@ -238,6 +238,8 @@
             .map(|(upstream, _)| upstream.clone())
             .collect();
         if answering.len() < self.majority() || self.awaits_first_look() {
+            // The ranks take their turns from when somebody can act; otherwise all act at once.
+            self.unsettled_since = None;
             return Vec::new();
         }
         let since = *self.unsettled_since.get_or_insert(now);
--- a/tests/failover.rs
+++ b/tests/failover.rs
@@ -494,3 +494,39 @@
     assert_ne!(world.primary().expect("a primary"), old);
     assert_eq!(world.primaries.len(), 2, "one move is enough");
 }
+
+/// Guards against ranks that act at once, and split the fences of a term, when a majority returns
+/// after a long time without one.
+#[test]
+fn a_later_rank_waits_its_turn_when_a_majority_returns() {
+    let mut world = World::new();
+    world.settle(None, 100);
+    let old = world.primary().expect("a primary");
+    let (second, last) = ((old + 1) % 3, (old + 2) % 3);
+    for down in [old, second] {
+        world.report_down(1, down);
+        for (keeper, event) in std::mem::take(&mut world.answers) {
+            world.handle(keeper, event, time::Duration::ZERO);
+        }
+        world.tick(1, time::Duration::ZERO);
+    }
+    for _ in 0..100 {
+        world.now += time::Duration::from_millis(100);
+        world.tick(1, time::Duration::ZERO);
+    }
+    for upstream in [second, last] {
+        world.probe(1, upstream);
+    }
+    for (keeper, event) in std::mem::take(&mut world.answers) {
+        world.handle(keeper, event, time::Duration::ZERO);
+    }
+    world.tick(1, time::Duration::ZERO);
+    assert!(
+        world.actions.is_empty(),
+        "acted at once: {:?}",
+        world.actions
+    );
+    world.now += TIMES.rank_delay;
+    world.tick(1, time::Duration::ZERO);
+    assert_eq!(world.actions.len(), 2, "fences both that answer");
+}
