Use no connection on which something arrived since its last answer

A connection that the upstream had closed while idle was only noticed after a batch was written to it, which made the batch's outcome unknown. It is now checked before the first byte, and idle connections are checked at once when the control connection fails. tests/pool.rs, tests/queue.rs and tests/answer_splitter.rs pass; no test covers an upstream that restarts.

--- a/src/pool/state_reader.rs
+++ b/src/pool/state_reader.rs
@@ -40,6 +40,11 @@
                     );
                 }
                 upstream.publish_unreachable();
+                // What ended the control connection may have ended the idle ones too.
+                let store = sync::Arc::clone(&upstream.connections);
+                tokio::spawn(async move {
+                    store.check_idle(time::Duration::ZERO, SILENCE_LIMIT).await;
+                });
                 (connection, version) = (None, None);
                 drop(upstream);
                 tokio::time::sleep(pause).await;
--- a/src/pool/upstream_connection.rs
+++ b/src/pool/upstream_connection.rs
@@ -67,6 +67,18 @@
         }
     }
 
+    /// Tells whether nothing has arrived since the last answer, as it has to be before a batch. An
+    /// end of the connection shows here, before anything of a batch is written.
+    #[must_use]
+    pub fn is_quiet(&self) -> bool {
+        let mut byte = [0];
+        let quiet = match self.socket.try_read(&mut byte) {
+            Ok(_) => false,
+            Err(error) => error.kind() == io::ErrorKind::WouldBlock,
+        };
+        quiet && self.buffer.is_empty()
+    }
+
     /// Sends bytes.
     ///
     /// # Errors
--- a/src/pool/work.rs
+++ b/src/pool/work.rs
@@ -16,7 +16,7 @@
 const STATE_WAIT: time::Duration = time::Duration::from_millis(300);
 /// Time within which a rollback has to be answered; otherwise the connection is closed.
 const ROLLBACK_LIMIT: time::Duration = time::Duration::from_secs(1);
-/// Connections of an old incarnation that one unit closes before it gives up.
+/// Ended connections and such of an old incarnation that one unit closes before it gives up.
 const MAX_STALE_CONNECTIONS: usize = 64;
 
 type Refusal = (refusal_reason::RefusalReason, String);
@@ -319,6 +319,9 @@
                 return Err((reason, format!("no connection to upstream {name} in time")));
             }
         };
+        if !held.connection.is_quiet() {
+            continue;
+        }
         if request.min_applied.is_none() && request.term.is_none() {
             return Ok(held);
         }
