--- a/tests/testenv/src/lib.rs
+++ b/tests/testenv/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod http_call;
 pub mod platform_calls;
 pub mod process_set;
+pub mod proof;
 pub mod test_env;
 pub mod waiting;
--- /dev/null
+++ b/tests/testenv/src/proof.rs
@@ -0,0 +1,488 @@
+//! What proofs share: callers that note what they were told, and the journals that judge it.
+
+use std::collections;
+use std::io;
+use std::net;
+use std::sync;
+use std::sync::atomic;
+use std::time;
+
+use persimmontack::model::{ids, log_position};
+use standins::fault_link;
+use standins::instance::journal;
+
+use crate::env_plan;
+use crate::test_env;
+use crate::waiting;
+
+/// Login of the callers.
+pub const USER: &str = "parish";
+/// Its password.
+pub const PASSWORD: &str = "pencil";
+/// Group and database of the proofs.
+pub const GROUP: &str = "ledger";
+/// SQLSTATEs that say that nothing was run.
+const NOT_RUN: [&str; 4] = ["57P03", "53300", "53400", "57P01"];
+
+/// A rule that cuts a link.
+pub const CUT: fault_link::LinkRule = fault_link::LinkRule {
+    cut: true,
+    flow: fault_link::FlowRule::Pass,
+    delay: time::Duration::ZERO,
+};
+
+/// Returns a rule that only changes the flow.
+#[must_use]
+pub const fn flow(flow: fault_link::FlowRule) -> fault_link::LinkRule {
+    fault_link::LinkRule {
+        cut: false,
+        flow,
+        delay: time::Duration::ZERO,
+    }
+}
+
+/// Plans three data centres with one VM and one upstream each, and a fault link before each listener.
+/// `limits` is TOML for the entries' `[limits]`.
+#[must_use]
+pub fn plan(limits: &str) -> env_plan::EnvPlan {
+    let mut plan = env_plan::EnvPlan::new(&[1, 1, 1])
+        .group(GROUP, |_index, _upstream| {})
+        .rules(&env_plan::login_rules(USER, PASSWORD))
+        .with_fault_links();
+    let limits = format!("[limits]\n{limits}\n");
+    plan.settings.insert("persimmon-entry".to_owned(), limits);
+    plan
+}
+
+/// Starts an environment and waits until its group has a primary that takes writes.
+///
+/// # Panics
+///
+/// Panics if that does not happen.
+pub async fn start(plan: env_plan::EnvPlan) -> test_env::TestEnv {
+    let env = test_env::TestEnv::start(plan).await.expect("start");
+    env.wait_ready().await;
+    waiting::until("a write is acknowledged", || async {
+        let Ok(client) = connect(&env, 1, "").await else {
+            return false;
+        };
+        probe(&client).await.is_done()
+    })
+    .await;
+    env
+}
+
+/// Connects to the entry in data centre `centre`, counted from 1.
+///
+/// # Errors
+///
+/// Fails if the entry refuses or does not answer.
+pub async fn connect(
+    env: &test_env::TestEnv,
+    centre: usize,
+    options: &str,
+) -> Result<tokio_postgres::Client, String> {
+    let vm = format!("vm-{centre}-1");
+    let connect = env.connect(&vm, USER, PASSWORD, GROUP, options);
+    match tokio::time::timeout(waiting::WAIT_LIMIT, connect).await {
+        Ok(connected) => connected.map_err(|error| error.to_string()),
+        Err(elapsed) => Err(elapsed.to_string()),
+    }
+}
+
+/// What a caller was told.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Told {
+    /// It succeeded; the first column of the first row, if any.
+    Done(Option<String>),
+    /// It failed with this SQLSTATE.
+    Failed(String),
+    /// The connection ended before an answer.
+    Lost,
+}
+
+impl Told {
+    /// Tells whether it succeeded.
+    #[must_use]
+    pub const fn is_done(&self) -> bool {
+        matches!(self, Self::Done(_))
+    }
+
+    /// Tells whether it failed with this SQLSTATE.
+    #[must_use]
+    pub fn is(&self, state: &str) -> bool {
+        matches!(self, Self::Failed(found) if found == state)
+    }
+}
+
+/// Runs a statement under an id that the journals carry.
+///
+/// # Panics
+///
+/// Panics if no answer comes.
+pub async fn run(client: &tokio_postgres::Client, id: &str, sql: &str) -> Told {
+    let text = format!("/* id={id} */ {sql}");
+    let answer = tokio::time::timeout(waiting::WAIT_LIMIT, client.simple_query(&text))
+        .await
+        .unwrap_or_else(|_elapsed| panic!("no answer to {id}: {sql}"));
+    match answer {
+        Ok(messages) => Told::Done(messages.iter().find_map(|message| match message {
+            tokio_postgres::SimpleQueryMessage::Row(row) => row.get(0).map(str::to_owned),
+            _ => None,
+        })),
+        Err(error) => match error.code() {
+            Some(state) => Told::Failed(state.code().to_owned()),
+            None => Told::Lost,
+        },
+    }
+}
+
+/// Writes a row that nothing else names.
+async fn probe(client: &tokio_postgres::Client) -> Told {
+    static NEXT: atomic::AtomicU64 = atomic::AtomicU64::new(0);
+    let number = NEXT.fetch_add(1, atomic::Ordering::Relaxed);
+    let sql = format!("INSERT INTO probes (k, v) VALUES ('{number}', 'x')");
+    run(client, "probe", &sql).await
+}
+
+/// Inserts row `id` into table `t`.
+pub async fn insert(client: &tokio_postgres::Client, id: &str) -> Told {
+    run(
+        client,
+        id,
+        &format!("INSERT INTO t (k, v) VALUES ('{id}', 'x')"),
+    )
+    .await
+}
+
+/// The journals of the group at one moment.
+#[derive(Debug)]
+pub struct GroupJournals {
+    events: collections::BTreeMap<ids::UpstreamId, Vec<journal::JournalEvent>>,
+}
+
+impl GroupJournals {
+    /// Reads the journals.
+    ///
+    /// # Panics
+    ///
+    /// Panics if one cannot be read.
+    #[must_use]
+    pub fn read(env: &test_env::TestEnv) -> Self {
+        let names = env.plan().groups.iter().flat_map(|group| &group.upstreams);
+        let events = names
+            .map(|upstream| {
+                let name = upstream.upstream.clone();
+                let events = env.journal(&name).expect("journal");
+                (name, events)
+            })
+            .collect();
+        Self { events }
+    }
+
+    /// Returns the promotions by term. More than one upstream in a term is a fault.
+    #[must_use]
+    pub fn primaries(&self) -> collections::BTreeMap<ids::TermNumber, Vec<ids::UpstreamId>> {
+        let mut primaries: collections::BTreeMap<_, Vec<_>> = collections::BTreeMap::new();
+        for (upstream, event) in self.all() {
+            if let journal::JournalEvent::Promote { entry } = event {
+                primaries
+                    .entry(entry.term)
+                    .or_default()
+                    .push(upstream.clone());
+            }
+        }
+        primaries
+    }
+
+    /// Returns the primary of the highest term.
+    #[must_use]
+    pub fn primary(&self) -> Option<(ids::TermNumber, ids::UpstreamId)> {
+        let (term, upstreams) = self.primaries().into_iter().next_back()?;
+        Some((term, upstreams.into_iter().next()?))
+    }
+
+    /// Returns the upstreams on which the statement ran, one for each run.
+    #[must_use]
+    pub fn runs(&self, id: &str) -> Vec<ids::UpstreamId> {
+        self.all()
+            .filter(|(_, event)| {
+                matches!(event, journal::JournalEvent::Statement { id: Some(ran), .. } if ran == id)
+            })
+            .map(|(upstream, _)| upstream.clone())
+            .collect()
+    }
+
+    /// Returns the position at which the transaction of a write committed, on any upstream.
+    #[must_use]
+    pub fn committed(&self, id: &str) -> Option<log_position::LogPosition> {
+        self.all().find_map(|(_, event)| match event {
+            journal::JournalEvent::Commit { ids, entry, .. } if ids.iter().any(|i| i == id) => {
+                Some(entry.position())
+            }
+            _ => None,
+        })
+    }
+
+    /// Returns the positions that an upstream's log holds.
+    #[must_use]
+    pub fn log(&self, upstream: &str) -> Vec<log_position::LogPosition> {
+        let mut log = Vec::new();
+        for event in self.events.get(upstream).into_iter().flatten() {
+            match event {
+                journal::JournalEvent::Commit { entry, .. }
+                | journal::JournalEvent::Received { entry }
+                | journal::JournalEvent::Promote { entry } => log.push(entry.position()),
+                journal::JournalEvent::TailDropped { after, .. } => {
+                    log.truncate(usize::try_from(*after).unwrap_or(usize::MAX));
+                }
+                _ => {}
+            }
+        }
+        log
+    }
+
+    /// Tells whether all upstreams hold the log of the latest primary.
+    #[must_use]
+    pub fn agree(&self) -> bool {
+        let Some((_, primary)) = self.primary() else {
+            return false;
+        };
+        let log = self.log(&primary);
+        self.events.keys().all(|upstream| self.log(upstream) == log)
+    }
+
+    fn all(&self) -> impl Iterator<Item = (&ids::UpstreamId, &journal::JournalEvent)> {
+        let journals = self.events.iter();
+        journals.flat_map(|(upstream, events)| events.iter().map(move |event| (upstream, event)))
+    }
+
+    /// Judges what callers of single writes were told against the log that remains.
+    ///
+    /// # Panics
+    ///
+    /// Panics at the first answer that is not true, at a write that ran twice, and at a term with
+    /// two primaries.
+    pub fn judge(&self, told: &[(String, Told)]) {
+        for (term, upstreams) in self.primaries() {
+            assert_eq!(
+                upstreams.len(),
+                1,
+                "term {term} has primaries {upstreams:?}"
+            );
+        }
+        let (term, primary) = self.primary().expect("a primary");
+        let log = self.log(&primary);
+        for (id, told) in told {
+            let runs = self.runs(id);
+            let kept = self
+                .committed(id)
+                .is_some_and(|position| log.contains(&position));
+            assert!(
+                runs.len() <= 1,
+                "{id} ran on {runs:?}, caller was told {told:?}"
+            );
+            match told {
+                Told::Done(_) => assert!(kept, "{id} is acknowledged and not in term {term}"),
+                Told::Failed(state) if NOT_RUN.contains(&state.as_str()) => {
+                    assert!(runs.is_empty(), "{id} ran on {runs:?}, told {state}");
+                }
+                Told::Failed(state) if state == "40001" => {
+                    assert!(!kept, "{id} is kept, told {state}");
+                }
+                Told::Failed(state) => assert_eq!(state, "40003", "{id}"),
+                Told::Lost => {}
+            }
+        }
+    }
+}
+
+/// Returns the primary of the highest term, by the journals.
+///
+/// # Panics
+///
+/// Panics if there is none.
+#[must_use]
+pub fn primary(env: &test_env::TestEnv) -> (ids::TermNumber, ids::UpstreamId) {
+    GroupJournals::read(env).primary().expect("a primary")
+}
+
+/// Waits until an upstream has become the primary of a term above `term`.
+pub async fn next_primary(
+    env: &test_env::TestEnv,
+    term: ids::TermNumber,
+) -> (ids::TermNumber, ids::UpstreamId) {
+    waiting::until_some("a higher term has a primary", || async {
+        GroupJournals::read(env)
+            .primary()
+            .filter(|(found, _)| *found > term)
+    })
+    .await
+}
+
+/// Waits until a write is acknowledged by the entry of a data centre, and all logs agree then.
+pub async fn settle(env: &test_env::TestEnv, centre: usize) {
+    waiting::until("the group takes writes and its logs agree", || async {
+        let Ok(client) = connect(env, centre, "").await else {
+            return false;
+        };
+        probe(&client).await.is_done() && GroupJournals::read(env).agree()
+    })
+    .await;
+}
+
+/// Returns the number, from 1, of an upstream's data centre.
+///
+/// # Panics
+///
+/// Panics if the plan has no such upstream.
+#[must_use]
+pub fn centre_of(env: &test_env::TestEnv, upstream: &str) -> usize {
+    let mut plans = env.plan().groups.iter().flat_map(|group| &group.upstreams);
+    let plan = plans
+        .find(|plan| plan.upstream == upstream)
+        .expect("planned");
+    plan.data_centre + 1
+}
+
+/// Returns the loopback addresses of the VM and of the upstream in a data centre.
+#[must_use]
+pub fn sources(centre: usize) -> [net::IpAddr; 2] {
+    let centre = u8::try_from(centre).unwrap_or(u8::MAX);
+    [1, 101].map(|host| net::IpAddr::from([127, 0, centre, host]))
+}
+
+/// Cuts a data centre off from the others, both ways. Callers still reach its entry.
+///
+/// # Errors
+///
+/// Fails if a link is missing.
+pub fn cut_off(env: &test_env::TestEnv, centre: usize) -> io::Result<()> {
+    for other in (1..=3).filter(|other| *other != centre) {
+        for (owner, from) in [(centre, other), (other, centre)] {
+            for (name, what) in [
+                (format!("{GROUP}-{owner}"), "listen"),
+                (format!("vm-{owner}-1-keeper"), "link"),
+                (format!("vm-{owner}-1-pool"), "link"),
+                (format!("vm-{owner}-1-entry"), "link"),
+            ] {
+                for source in sources(from) {
+                    env.link(&name, what)?.set_source(source, Some(CUT));
+                }
+            }
+        }
+    }
+    Ok(())
+}
+
+/// Removes all faults of links.
+pub fn heal(env: &test_env::TestEnv) {
+    for link in env.links().values() {
+        link.heal();
+    }
+}
+
+/// Pause between two writes of one caller, which bounds the journals.
+const WRITE_PAUSE: time::Duration = time::Duration::from_millis(10);
+
+type ToldList = sync::Arc<sync::Mutex<Vec<(String, Told)>>>;
+
+/// Callers that write through all entries and note what they were told.
+#[derive(Debug)]
+pub struct CallerLoad {
+    told: ToldList,
+    stop: sync::Arc<atomic::AtomicBool>,
+    tasks: tokio::task::JoinSet<()>,
+}
+
+impl CallerLoad {
+    /// Starts two callers at each entry: one of single statements and one of transactions.
+    ///
+    /// # Panics
+    ///
+    /// Panics if an entry does not listen.
+    pub fn start(env: &mut test_env::TestEnv) -> Self {
+        let mut load = Self {
+            told: ToldList::default(),
+            stop: sync::Arc::default(),
+            tasks: tokio::task::JoinSet::new(),
+        };
+        for entry in env.processes().names("persimmon-entry") {
+            let address = env.processes().address(&entry, "listen").expect("listens");
+            for transactions in [false, true] {
+                let told = sync::Arc::clone(&load.told);
+                let stop = sync::Arc::clone(&load.stop);
+                let name = format!("{entry}-{transactions}");
+                load.tasks.spawn(async move {
+                    let mut number = 0;
+                    while !stop.load(atomic::Ordering::Relaxed) {
+                        tokio::time::sleep(WRITE_PAUSE).await;
+                        let connect = test_env::connect_to(address, USER, PASSWORD, GROUP, "");
+                        let connected = tokio::time::timeout(waiting::WAIT_LIMIT, connect).await;
+                        let Ok(Ok(client)) = connected else { continue };
+                        while !stop.load(atomic::Ordering::Relaxed) && !client.is_closed() {
+                            number += 1;
+                            let id = format!("{name}-{number}");
+                            let answer = if transactions {
+                                transaction(&client, &id).await
+                            } else {
+                                insert(&client, &id).await
+                            };
+                            lock(&told).push((id, answer));
+                            tokio::time::sleep(WRITE_PAUSE).await;
+                        }
+                    }
+                });
+            }
+        }
+        load
+    }
+
+    /// Waits until `count` more writes are acknowledged.
+    pub async fn more(&self, count: usize) {
+        let done = || {
+            lock(&self.told)
+                .iter()
+                .filter(|(_, told)| told.is_done())
+                .count()
+        };
+        let goal = done() + count;
+        waiting::until("the callers' writes are acknowledged", || async {
+            done() >= goal
+        })
+        .await;
+    }
+
+    /// Lets the callers finish and returns what they were told.
+    ///
+    /// # Panics
+    ///
+    /// Panics if a caller did.
+    pub async fn finish(mut self) -> Vec<(String, Told)> {
+        self.stop.store(true, atomic::Ordering::Relaxed);
+        while let Some(ended) = self.tasks.join_next().await {
+            ended.expect("a caller");
+        }
+        std::mem::take(&mut *lock(&self.told))
+    }
+}
+
+fn lock(told: &ToldList) -> sync::MutexGuard<'_, Vec<(String, Told)>> {
+    told.lock().unwrap_or_else(sync::PoisonError::into_inner)
+}
+
+/// Inserts in a transaction of its own. Whatever fails, except with an unknown outcome, is not kept.
+async fn transaction(client: &tokio_postgres::Client, id: &str) -> Told {
+    let not_kept = || Told::Failed("40001".to_owned());
+    if !run(client, "begin", "BEGIN").await.is_done() {
+        return not_kept();
+    }
+    if !insert(client, id).await.is_done() {
+        run(client, "rollback", "ROLLBACK").await;
+        return not_kept();
+    }
+    match run(client, "commit", "COMMIT").await {
+        Told::Failed(state) if state != "40003" => not_kept(),
+        told => told,
+    }
+}
