Tell a unique violation only once the row that it met is kept

Cause: a write whose confirmation times out (40003) leaves its row on the primary. The caller's repeat with the same request key got 23505 at once, which callers take for proof that the first attempt took effect, and a failover could still drop the row. Change: after 23505 on a primary the entry observes a confirmed position of the same term, begun after the answer, and waits until a second upstream holds it. If it is not kept, the caller gets 40001, which is true of the repeat. Rows of a write that fails inside a transaction are held back for that.

--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -11,8 +11,6 @@
 use crate::rules::rule_set;
 use crate::{counters, event};
 
-/// Longest wait without a look at the states of a group whose commit is to be confirmed.
-const CONFIRM_CHECK: time::Duration = time::Duration::from_millis(100);
 /// SQLSTATE of a transaction that is lost with its connection.
 const CONNECTION_FAILURE: &str = "08006";
 
@@ -189,6 +187,7 @@
                 reader,
                 upstream: choice.upstream.clone(),
                 access,
+                term: choice.term,
                 pool: pool.vm.clone(),
                 tables: batch.tables.clone(),
                 failed: false,
@@ -229,7 +228,7 @@
                         },
                     ));
                 }
-                self.finish_batch(unit, done)
+                self.finish_batch(unit, done, sent)
                     .await
                     .map(AttemptEnd::Answered)
             }
@@ -313,19 +312,21 @@
         self.context.budget(self.number).record_request(now);
         let deadline = now + self.context.settings.limits.write_deadline;
         let writes = unit.access == work_request::WorkAccess::Write;
-        let hold = writes && batch.may_commit();
+        let commits = writes && batch.may_commit();
+        // The answer to any write is held back, because a unique violation has to be confirmed.
+        let hold = commits
+            || (writes && batch.executes && batch.access() == work_request::WorkAccess::Write);
         let work = work_frame::WorkFrame::Batch(self.request(batch, request, deadline, hold));
         unit.tables.extend(batch.tables.iter().cloned());
-        let end = if let Err(error) = unit.writer.send(&work).await {
-            unit::BatchEnd::Refused(work_reply::WorkRefusal {
+        let (end, sent) = if let Err(error) = unit.writer.send(&work).await {
+            let refusal = work_reply::WorkRefusal {
                 reason: refusal_reason::RefusalReason::Unreachable,
                 detail: error.to_string(),
-            })
+            };
+            (unit::BatchEnd::Refused(refusal), false)
         } else {
-            let (end, _sent) = unit
-                .receive(request, &mut self.reader, &mut self.writer, hold, cancelled)
-                .await?;
-            end
+            unit.receive(request, &mut self.reader, &mut self.writer, hold, cancelled)
+                .await?
         };
         let lost = if batch.ends() {
             session::TransactionState::Idle
@@ -333,7 +334,7 @@
             session::TransactionState::Lost
         };
         match end {
-            unit::BatchEnd::Done(done) => self.finish_batch(unit, done).await,
+            unit::BatchEnd::Done(done) => self.finish_batch(unit, done, sent).await,
             unit::BatchEnd::Refused(refusal) => {
                 self.transaction = lost;
                 counters::count_refusal(refusal.reason);
@@ -358,7 +359,7 @@
                     "transaction_broken",
                     &[("upstream", &unit.upstream), ("detail", &detail)],
                 );
-                if hold {
+                if commits {
                     self.end_unknown(&detail).await?;
                 } else {
                     self.end_with_error(
@@ -378,8 +379,11 @@
         &mut self,
         mut unit: unit::WorkUnit,
         done: work_reply::BatchDone,
+        sent: bool,
     ) -> Result<bool, unit::CallerGone> {
         let upstream = unit.upstream.clone();
+        let conflict = done.sql_state.as_deref() == Some(sql_state::UNIQUE_VIOLATION);
+        let term = unit.term.filter(|_| conflict);
         let tables = std::mem::take(&mut unit.tables);
         match done.status {
             work_reply::TransactionStatus::Idle => unit.finish(),
@@ -389,10 +393,31 @@
                 self.transaction = session::TransactionState::Open(Box::new(unit));
             }
         }
+        let relaxed = self
+            .write_rule(&tables)
+            .is_some_and(|rule| rule.acknowledge == rule_set::AcknowledgeMode::Primary);
+        if let Some(term) = term.filter(|_| !relaxed)
+            && !self.conflict_is_kept(&upstream, term).await?
+        {
+            if sent {
+                // Part of the answer is out, so only the end of the connection takes it back.
+                return Err(unit::CallerGone);
+            }
+            self.writer.output.clear();
+            let detail = format!("step=confirm_conflict peer={upstream} term={term}");
+            if done.position.is_some() {
+                self.end_unknown(&detail).await?;
+                return Ok(false);
+            }
+            self.end_with_error(
+                sql_state::WRITE_DROPPED,
+                "not kept: it conflicts with a row that a failover may still drop; repeat it",
+                &detail,
+            )
+            .await?;
+            return Ok(false);
+        }
         if let Some(position) = done.position {
-            let relaxed = self
-                .write_rule(&tables)
-                .is_some_and(|rule| rule.acknowledge == rule_set::AcknowledgeMode::Primary);
             let verdict = if relaxed {
                 confirm::CommitVerdict::Kept
             } else {
@@ -422,31 +447,6 @@
         Ok(done.sql_state.is_none())
     }
 
-    async fn wait_for_confirmation(
-        &mut self,
-        committer: &str,
-        position: log_position::LogPosition,
-    ) -> Result<confirm::CommitVerdict, unit::CallerGone> {
-        let board = sync::Arc::clone(&self.board);
-        let mut changes = board.subscribe();
-        let deadline = self.context.now() + self.context.settings.limits.confirm_deadline;
-        loop {
-            changes.mark_unchanged();
-            let views = board.views();
-            let states = views.iter().filter_map(|view| view.state.as_ref());
-            let verdict = confirm::judge_commit(committer, position, states);
-            let left = deadline.saturating_sub(self.context.now());
-            if verdict != confirm::CommitVerdict::Pending || left.is_zero() {
-                return Ok(verdict);
-            }
-            tokio::select! {
-                _changed = changes.changed() => {}
-                () = tokio::time::sleep(left.min(CONFIRM_CHECK)) => {}
-                () = self.reader.gone() => return Err(unit::CallerGone),
-            }
-        }
-    }
-
     async fn end_unknown(&mut self, detail: &str) -> Result<(), unit::CallerGone> {
         metrics::counter!("persimmontack_outcomes_unknown_total").increment(1);
         self.end_with_error(
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -15,6 +15,7 @@
 mod route;
 mod session;
 mod settings;
+mod settlement;
 mod startup;
 mod tables_link;
 mod unit;
--- a/src/entry/route.rs
+++ b/src/entry/route.rs
@@ -12,7 +12,7 @@
 /// Longest wait without a look at the tables; changes wake the wait earlier.
 const CHECK_INTERVAL: time::Duration = time::Duration::from_millis(100);
 /// Pause after an observation that confirmed nothing.
-const OBSERVE_PAUSE: time::Duration = time::Duration::from_millis(10);
+pub const OBSERVE_PAUSE: time::Duration = time::Duration::from_millis(10);
 
 /// A refusal, with the words for the caller.
 #[derive(Debug)]
--- a/src/entry/unit.rs
+++ b/src/entry/unit.rs
@@ -47,6 +47,8 @@
     pub reader: frame_reader::FrameReader,
     pub upstream: ids::UpstreamId,
     pub access: work_request::WorkAccess,
+    /// Term of the primary that it runs on, if it was chosen as such.
+    pub term: Option<ids::TermNumber>,
     pub pool: ids::VmId,
     /// Tables that the unit has named, for the rule in force at its commit.
     pub tables: Vec<String>,
--- a/src/model/sql_state.rs
+++ b/src/model/sql_state.rs
@@ -27,3 +27,5 @@
 pub const INVALID_PARAMETER: &str = "22023";
 /// A write reached an upstream that is not the primary; upstreams send it before running anything.
 pub const READ_ONLY_UPSTREAM: &str = "25006";
+/// An upstream found a row with the same unique key.
+pub const UNIQUE_VIOLATION: &str = "23505";
