Test that transactions of different callers never mix

Twelve callers share nine connections; a third of their transactions ends with the caller closing its socket, and entries and pools are killed while transactions are open. The instances' journals tell which transaction and connection each statement ran in.

--- a/tests/testenv/src/lib.rs
+++ b/tests/testenv/src/lib.rs
@@ -3,10 +3,12 @@
 //! Each VM and each upstream takes a loopback address of its own, `127.0.<data centre>.<n>`, so
 //! that a fault link can tell by the source of a connection where it comes from.
 
+pub mod callers;
 pub mod child_process;
 pub mod env_plan;
 pub mod http_call;
 pub mod platform_calls;
 pub mod process_set;
+pub mod tampering;
 pub mod test_env;
 pub mod waiting;
