Close a connection whose statement was cancelled

A cancel request travels on a connection of its own. If it arrived after the statement had ended, the pool had already handed the connection to another unit, whose statement was cancelled in place of the caller's own.

A batch for which a cancel was requested now taints its connection, which closes at the end of its unit.

--- a/src/pool/batch_run.rs
+++ b/src/pool/batch_run.rs
@@ -77,6 +77,9 @@
         let mut pending = batch.messages;
         let mut last_byte = sent_at;
         let mut cancelled_at = None;
+        // A cancel request travels on a connection of its own and may arrive after the batch has
+        // ended. The connection that it names must not serve another unit by then.
+        let mut cancel_sent = false;
         let mut probe = None;
         let mut suspected = false;
         let tick = tokio::time::sleep(CHECK_INTERVAL);
@@ -86,8 +89,10 @@
                 return self.broken("read_answer", &cause);
             }
             if let Some(status) = splitter.status {
-                let tainted =
-                    splitter.tainted || !self.connection.buffer.is_empty() || !pending.is_empty();
+                let tainted = splitter.tainted
+                    || cancel_sent
+                    || !self.connection.buffer.is_empty()
+                    || !pending.is_empty();
                 let done = work_reply::BatchDone {
                     request: batch.request,
                     tail: splitter.take_tail(),
@@ -100,7 +105,7 @@
                 return BatchEnd::Done { done, tainted };
             }
             if splitter.has_full_frame() {
-                if !self.send_rows(&mut splitter).await {
+                if !self.send_rows(&mut splitter, &mut cancel_sent).await {
                     return self.abandon();
                 }
                 last_byte = tokio::time::Instant::now();
@@ -112,7 +117,10 @@
                 Step::Written(Ok(written)) => pending.advance(written),
                 Step::Received(Err(error)) => return self.broken("receive", &error),
                 Step::Written(Err(error)) => return self.broken("send", &error),
-                Step::Frame(Some(work_frame::WorkFrame::Cancel)) => self.request_cancel(),
+                Step::Frame(Some(work_frame::WorkFrame::Cancel)) => {
+                    cancel_sent = true;
+                    self.request_cancel();
+                }
                 Step::Frame(Some(_)) | Step::Gone => return self.abandon(),
                 Step::Frame(None) => *self.ended = true,
                 Step::Probed(answered) => {
@@ -127,11 +135,12 @@
                     tick.as_mut().reset(now + CHECK_INTERVAL);
                     let silence = last_byte.elapsed();
                     let has_rows = splitter.sendable() > 0 && silence >= CHECK_INTERVAL;
-                    if has_rows && !self.send_rows(&mut splitter).await {
+                    if has_rows && !self.send_rows(&mut splitter, &mut cancel_sent).await {
                         return self.abandon();
                     }
                     match cancelled_at {
                         None if silence >= batch.silence_limit => {
+                            cancel_sent = true;
                             self.request_cancel();
                             cancelled_at = Some(now);
                         }
@@ -216,7 +225,11 @@
 
     /// Sends all rows that may be sent. Meanwhile nothing is read from the upstream, so a slow
     /// caller slows its upstream connection down. Returns false if the entry is gone.
-    async fn send_rows(&mut self, splitter: &mut answer_splitter::AnswerSplitter) -> bool {
+    async fn send_rows(
+        &mut self,
+        splitter: &mut answer_splitter::AnswerSplitter,
+        cancel_sent: &mut bool,
+    ) -> bool {
         while let Some(rows) = splitter.take_rows() {
             let reply = work_reply::WorkReply::Rows(rows);
             let key = self.connection.key;
@@ -239,6 +252,7 @@
                     }
                     frame = self.reader.next::<work_frame::WorkFrame>() => match frame {
                         Ok(Some(work_frame::WorkFrame::Cancel)) => {
+                            *cancel_sent = true;
                             spawn_cancel(self.upstream, key);
                         }
                         Ok(None) => *self.ended = true,
