End the connection when an answer breaks inside a message

Rows pass through pool and entry in parts, so an answer can break while a part of a row has already gone to the caller. The entry wrote its error right behind that part, and the caller took it for the rest of the row: it waited for ever for a row that never ends, or could take the error's text for data.

Seen by tests/answers.rs, answers_that_break_the_protocol_end_with_an_error: "short-row: no end of the answer" after 60 s. The entry now follows the messages that it passes on. It drops an unfinished one that is still in its buffer, and ends the connection if a part of it has been sent.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -10,6 +10,7 @@
 mod failover_member;
 pub mod lease;
 pub mod membership;
+pub mod message_bounds;
 pub mod ownership;
 pub mod queue;
 pub mod retry_budget;
--- a/src/entry/unit.rs
+++ b/src/entry/unit.rs
@@ -4,7 +4,9 @@
 
 use futures::FutureExt;
 
+use crate::decide::message_bounds;
 use crate::entry::wire;
+use crate::event;
 use crate::link::{frame_reader, frame_writer, work_frame, work_reply, work_request};
 use crate::model::ids;
 
@@ -66,6 +68,7 @@
     ) -> Result<(BatchEnd, bool), CallerGone> {
         let mut sent = false;
         let mut cancel_sent = false;
+        let mut bounds = message_bounds::MessageBounds::default();
         loop {
             let ready = self.reader.next::<work_reply::WorkReply>().now_or_never();
             let received = match ready {
@@ -90,6 +93,7 @@
             };
             let end = match received {
                 Ok(Some(work_reply::WorkReply::Rows(rows))) => {
+                    bounds.take(&rows);
                     back.output.extend_from_slice(&rows);
                     let bound = if hold && !sent {
                         HOLD_BYTES
@@ -131,10 +135,35 @@
                     link: true,
                 },
             };
+            if matches!(end, BatchEnd::Broken { .. }) {
+                self.drop_unfinished(back, bounds.unfinished())?;
+            }
             return Ok((end, sent));
         }
     }
 
+    /// Drops the part of a message whose rest will never arrive. If some of it has been written to
+    /// the caller's socket, the connection ends, because the caller would take whatever follows
+    /// for the rest of that message.
+    fn drop_unfinished(
+        &mut self,
+        back: &mut wire::FrontWriter,
+        unfinished: usize,
+    ) -> Result<(), CallerGone> {
+        let Some(whole) = back.output.len().checked_sub(unfinished) else {
+            event::warn(
+                "caller_cut_off",
+                &[
+                    ("upstream", &self.upstream),
+                    ("cause", &"the answer broke inside a message"),
+                ],
+            );
+            return Err(self.abandon("broken inside a message"));
+        };
+        back.output.truncate(whole);
+        Ok(())
+    }
+
     /// Ends the unit. The pool rolls back what is open.
     pub fn finish(mut self) {
         // A stream that has ended at the pool's side needs no end of ours.
