Do not call a read refused after an attempt that may have run

A read whose connection broke is sent again. If the repeat was then refused, the caller was told 57P03, which says that nothing has run.

Seen by tests/answers.rs, answers_that_break_the_protocol_end_with_an_error: garbage was answered with 57P03 although the statement had been sent. Such a read now ends with 08006, as one does whose answer breaks after its first part.

--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -79,13 +79,15 @@
         };
         let mut avoid = Vec::new();
         let mut attempt = 0;
+        // Set once an attempt may have run, which a later refusal must not deny.
+        let mut cut_off = None;
         loop {
             let found = self
                 .find_route(access, floor, deadline, &avoid, cancelled.as_mut())
                 .await;
             let (choice, view) = match found {
                 Ok(found) => found,
-                Err(failure) => return self.refuse(Result::from(failure)?).await,
+                Err(failure) => return self.end_refused(Result::from(failure)?, cut_off).await,
             };
             let end = self
                 .attempt(batch, &choice, &view, floor, deadline, cancelled.as_mut())
@@ -103,6 +105,12 @@
                 AttemptEnd::Retry(reason, upstream, refusal) => (reason, upstream, refusal),
             };
             self.writer.output.clear();
+            if matches!(
+                reason,
+                retry_reason::RetryReason::LinkBroken | retry_reason::RetryReason::UpstreamBroken
+            ) {
+                cut_off = Some(refusal.detail.clone());
+            }
             let stays = matches!(
                 refusal.reason,
                 refusal_reason::RefusalReason::Cancelled
@@ -115,7 +123,7 @@
                     .wait_for_retry(&mut attempt, deadline, cancelled.as_mut())
                     .await?
             {
-                return self.refuse(refusal).await;
+                return self.end_refused(refusal, cut_off).await;
             }
             counters::count_retry(reason);
             if access == work_request::WorkAccess::Read && !avoid.contains(&upstream) {
@@ -266,12 +274,7 @@
                     ));
                 }
                 if batch.is_repeatable() {
-                    self.end_with_error(
-                        CONNECTION_FAILURE,
-                        "the answer to the read was cut off; it changed nothing",
-                        &detail,
-                    )
-                    .await?;
+                    self.end_cut_off(&detail).await?;
                     return Ok(AttemptEnd::Answered(false));
                 }
                 Ok(AttemptEnd::Unknown(detail))
@@ -457,6 +460,23 @@
         .await
     }
 
+    /// Refuses a batch, unless an earlier attempt may have run.
+    async fn end_refused(
+        &mut self,
+        refusal: route::RouteRefusal,
+        cut_off: Option<String>,
+    ) -> Result<bool, unit::CallerGone> {
+        match cut_off {
+            Some(detail) => self.end_cut_off(&detail).await.map(|()| false),
+            None => self.refuse(refusal).await,
+        }
+    }
+
+    async fn end_cut_off(&mut self, detail: &str) -> Result<(), unit::CallerGone> {
+        let text = "the answer to the read was cut off; it changed nothing";
+        self.end_with_error(CONNECTION_FAILURE, text, detail).await
+    }
+
     async fn refuse(&mut self, refusal: route::RouteRefusal) -> Result<bool, unit::CallerGone> {
         counters::count_refusal(refusal.reason);
         self.end_with_error(refusal.reason.sql_state(), &refusal.text, &refusal.detail)
