--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -101,24 +101,37 @@
     /// Puts new control tables in force.
     pub fn replace_tables(self: &sync::Arc<Self>, control: control_tables::ControlTables) {
         let old = self.tables();
-        let rules = match rule_set::RuleSet::parse(&control.rules_text) {
-            Ok(rules) => rules,
-            Err(errors) => {
-                // A keeper only hands out rules that it has checked, so this is a version mismatch.
-                let cause = errors.first().map(ToString::to_string).unwrap_or_default();
-                let revision = control.rules_revision;
-                event::error(
-                    "rules_refused",
-                    &[("revision", &revision), ("cause", &cause)],
-                );
-                if self.is_loaded() {
-                    return;
+        let (rules, revision) = if control.rules_revision < old.revision {
+            // A keeper that has just started may not have heard of the rules in force yet.
+            event::info(
+                "older_rules_ignored",
+                &[
+                    ("revision", &control.rules_revision),
+                    ("in_force", &old.revision),
+                ],
+            );
+            (old.rules.clone(), old.revision)
+        } else {
+            match rule_set::RuleSet::parse(&control.rules_text) {
+                Ok(rules) => (rules, control.rules_revision),
+                Err(errors) => {
+                    // A keeper only hands out rules that it has checked, so this is a version
+                    // mismatch.
+                    let cause = errors.first().map(ToString::to_string).unwrap_or_default();
+                    let revision = control.rules_revision;
+                    event::error(
+                        "rules_refused",
+                        &[("revision", &revision), ("cause", &cause)],
+                    );
+                    if self.is_loaded() {
+                        return;
+                    }
+                    (rule_set::RuleSet::default(), revision)
                 }
-                rule_set::RuleSet::default()
             }
         };
         let mut tables = ActiveTables {
-            revision: control.rules_revision,
+            revision,
             ..ActiveTables::default()
         };
         for spec in &control.groups {
