--- a/src/blackboard/control_board.rs
+++ b/src/blackboard/control_board.rs
@@ -21,6 +21,7 @@
     programs: sync::Mutex<collections::BTreeMap<String, program_report::ProgramReport>>,
     statuses: sync::Mutex<collections::BTreeMap<ids::GroupId, control::GroupStatus>>,
     platform_reachable: atomic::AtomicBool,
+    rules_known: atomic::AtomicBool,
     leaving: atomic::AtomicBool,
     own_shards: atomic::AtomicU64,
     tables: tokio::sync::watch::Sender<sync::Arc<control_tables::ControlTables>>,
@@ -45,6 +46,7 @@
             programs: sync::Mutex::default(),
             statuses: sync::Mutex::default(),
             platform_reachable: atomic::AtomicBool::new(false),
+            rules_known: atomic::AtomicBool::new(false),
             leaving: atomic::AtomicBool::new(false),
             own_shards: atomic::AtomicU64::new(0),
             tables: tokio::sync::watch::Sender::default(),
@@ -122,6 +124,20 @@
         self.platform_reachable.load(atomic::Ordering::Relaxed)
     }
 
+    /// Notes that the rules in force are those of the store or of a peer. Followers of the tables
+    /// look again, since tables without rules are not handed out.
+    pub fn set_rules_known(&self) {
+        if !self.rules_known.swap(true, atomic::Ordering::AcqRel) {
+            self.tables.send_modify(|_tables| {});
+        }
+    }
+
+    /// Tells whether the rules were read from the store or heard from a peer since the start.
+    #[must_use]
+    pub fn rules_known(&self) -> bool {
+        self.rules_known.load(atomic::Ordering::Acquire)
+    }
+
     /// Notes that this keeper is stopping.
     pub fn set_leaving(&self) {
         self.leaving.store(true, atomic::Ordering::Relaxed);
--- a/src/keeper/daemon.rs
+++ b/src/keeper/daemon.rs
@@ -116,7 +116,7 @@
     let mut tables = board.follow();
     // The sender lives as long as the board.
     if tables
-        .wait_for(|tables| !tables.groups.is_empty())
+        .wait_for(|tables| !tables.groups.is_empty() && board.rules_known())
         .await
         .is_ok()
         && !board.is_leaving()
--- a/src/keeper/gossip_task.rs
+++ b/src/keeper/gossip_task.rs
@@ -302,10 +302,14 @@
                 (rules.take(update), rules.current().revision)
             };
             match outcome {
-                rule_log::TakeOutcome::Taken => event::info(
-                    "rules_in_force",
-                    &[("revision", &revision), ("from", &"peer")],
-                ),
+                rule_log::TakeOutcome::Taken => {
+                    event::info(
+                        "rules_in_force",
+                        &[("revision", &revision), ("from", &"peer")],
+                    );
+                    self.board.publish();
+                    self.board.set_rules_known();
+                }
                 rule_log::TakeOutcome::Broken(error) => {
                     event::error("rules_broken", &[("cause", &error)]);
                 }
--- a/src/keeper/rules_watch.rs
+++ b/src/keeper/rules_watch.rs
@@ -117,6 +117,8 @@
         );
         board.publish();
     }
+    // After the publication, so that the first tables handed out have the rules.
+    board.set_rules_known();
 }
 
 /// Rewrites the snapshot when it has fallen behind. The expected revision lets one keeper win.
--- a/src/keeper/tables_stream.rs
+++ b/src/keeper/tables_stream.rs
@@ -22,11 +22,12 @@
     } = stream;
     let program = greeting.program.clone();
     let mut tables = board.follow();
-    // An empty table would make the program forget what it knows from an earlier keeper.
+    // An empty table would make the program forget what it knows from an earlier keeper, and one
+    // without rules would make an entry refuse every login as unknown.
     let send = async {
         loop {
             let current = tables.borrow_and_update().clone();
-            if !current.groups.is_empty() {
+            if !current.groups.is_empty() && board.rules_known() {
                 writer.send(&*current).await?;
             }
             if tables.changed().await.is_err() {
