Log an unreachable platform at the start, and a lost keeper once

Cause: the keeper logged platform_unreachable only when the platform had been reachable before, so a keeper with a wrong or dead platform address was silent for good. The entry logged tables_lost at each attempt, ten lines a second.

Change: the outcome of the keeper's first call is logged whatever it is; the entry warns once for each absence, as the pool does.

Before: daemons_start_without_the_platform_and_find_it_later waited 60 s in vain for the line, and the entry wrote about 600 warnings meanwhile. After: it passes.

--- a/src/entry/tables_link.rs
+++ b/src/entry/tables_link.rs
@@ -15,8 +15,13 @@
 
 /// Follows the tables for ever. The last ones stay in force while the keeper is away.
 pub async fn follow(context: sync::Arc<context::EntryContext>) {
+    let mut warned = false;
     loop {
-        if let Err(error) = follow_once(&context).await {
+        let ended = follow_once(&context, &mut warned).await;
+        // Once for each absence; it would come ten times a second.
+        if let Err(error) = ended
+            && !std::mem::replace(&mut warned, true)
+        {
             event::warn("tables_lost", &[("cause", &error)]);
         }
         tokio::time::sleep(RECONNECT_PAUSE).await;
@@ -25,6 +30,7 @@
 
 async fn follow_once(
     context: &sync::Arc<context::EntryContext>,
+    warned: &mut bool,
 ) -> Result<(), link_error::LinkError> {
     let keeper = context.settings.keeper;
     let client = client::PeerClient::connect(&context.dialer, keeper, &context.hello).await?;
@@ -36,6 +42,7 @@
             received = reader.next::<control_tables::ControlTables>() => {
                 let Some(tables) = received? else { return Ok(()) };
                 context.replace_tables(tables);
+                *warned = false;
                 let report = context.report();
                 if reported == Some(report.rules_revision) {
                     continue;
--- a/src/keeper/platform_poll.rs
+++ b/src/keeper/platform_poll.rs
@@ -19,12 +19,15 @@
 /// Reads the lists for good.
 pub async fn run(board: sync::Arc<control_board::ControlBoard>, platform: client::PlatformClient) {
     let mut back_off = POLL_INTERVAL;
+    // Unknown at first, so that the outcome of the first call is logged whatever it is.
+    let mut reached = None;
     loop {
         let pause = match read_lists(&board, &platform).await {
             Ok(()) => {
-                if !board.platform_reachable() {
+                if reached != Some(true) {
                     event::info("platform_reachable", &[]);
                 }
+                reached = Some(true);
                 board.set_platform_reachable(true);
                 board.publish();
                 back_off = POLL_INTERVAL;
@@ -33,9 +36,10 @@
                 POLL_INTERVAL * factor.max(1)
             }
             Err(error) => {
-                if board.platform_reachable() {
+                if reached != Some(false) {
                     event::warn("platform_unreachable", &[("cause", &error)]);
                 }
+                reached = Some(false);
                 board.set_platform_reachable(false);
                 back_off = (back_off * 2).min(MAX_BACK_OFF);
                 back_off
