--- /dev/null
+++ b/tests/configuration.rs
@@ -0,0 +1,513 @@
+//! An accepted configuration is in force everywhere and never reverts, judged by which logins the
+//! entries accept and by the revisions that the VMs report.
+
+use std::collections;
+use std::net;
+use std::sync;
+use std::sync::atomic;
+use std::time;
+
+use axum::routing;
+use persimmontack::decide::{ownership, rule_log};
+use persimmontack::dial;
+use persimmontack::link::{client, gossip, hello, program_report, server, stream_kind};
+use persimmontack::model::{control_tables, group_spec};
+use persimmontack::platform::kv_entry;
+use standins::fault_link;
+use standins::platform::fault_plan;
+use testenv::{env_plan, http_call, process_set, test_env, waiting};
+
+const OUTAGE: fault_plan::FaultPlan = fault_plan::FaultPlan {
+    outage: fault_plan::OutageKind::Refuse,
+    slow_ms: 0,
+    lost_answers: 0,
+};
+
+fn rules(users: &[&str]) -> String {
+    users
+        .iter()
+        .map(|user| env_plan::login_rules(user, "pencil"))
+        .collect()
+}
+
+async fn start(vms: &[usize], links: bool) -> test_env::TestEnv {
+    let mut plan = env_plan::EnvPlan::new(vms)
+        .group("proofs", |_index, _upstream| {})
+        .rules(&rules(&["clerk"]));
+    plan.fault_links = links;
+    let env = test_env::TestEnv::start(plan).await.expect("start");
+    env.wait_ready().await;
+    wait_login(&env, &names(&env), "clerk", true).await;
+    env
+}
+
+fn names(env: &test_env::TestEnv) -> Vec<String> {
+    env.vms().iter().map(|place| place.vm.clone()).collect()
+}
+
+fn listen(env: &test_env::TestEnv, vm: &str) -> net::SocketAddr {
+    env.entry_address(vm).expect("entry")
+}
+
+/// Tells whether the entry takes the login, or `None` if it answers neither way.
+async fn takes_login(address: net::SocketAddr, user: &str) -> Option<bool> {
+    match test_env::connect_to(address, user, "pencil", "proofs", "").await {
+        Ok(_client) => Some(true),
+        Err(error) => match error.code().map(|state| state.code().to_owned())?.as_str() {
+            "28P01" | "28000" => Some(false),
+            _ => None,
+        },
+    }
+}
+
+async fn wait_login(env: &test_env::TestEnv, vms: &[String], user: &str, taken: bool) {
+    for vm in vms {
+        waiting::until(&format!("{vm} takes {user}: {taken}"), async || {
+            takes_login(listen(env, vm), user).await == Some(taken)
+        })
+        .await;
+    }
+}
+
+/// Logs in at every entry over and over and notes each entry that goes back on a login, which
+/// shows that older rules have come into force there.
+struct LoginWatch {
+    ended: sync::Arc<atomic::AtomicBool>,
+    task: tokio::task::JoinHandle<(u32, collections::BTreeSet<net::SocketAddr>)>,
+}
+
+impl LoginWatch {
+    /// `taken` tells whether entries change from refusing to taking the login, or the other way.
+    fn start(env: &test_env::TestEnv, user: &str, taken: bool) -> Self {
+        let ended = sync::Arc::new(atomic::AtomicBool::new(false));
+        let addresses: Vec<_> = names(env).iter().map(|vm| listen(env, vm)).collect();
+        let (user, over) = (user.to_owned(), sync::Arc::clone(&ended));
+        let task = tokio::spawn(async move {
+            let (mut looks, mut changed) = (0, collections::BTreeSet::new());
+            let mut reverted = collections::BTreeSet::new();
+            while !over.load(atomic::Ordering::Relaxed) {
+                for address in &addresses {
+                    let Some(now) = takes_login(*address, &user).await else {
+                        continue;
+                    };
+                    looks += 1;
+                    if now == taken {
+                        changed.insert(*address);
+                    } else if changed.contains(address) {
+                        reverted.insert(*address);
+                    }
+                }
+                tokio::time::sleep(time::Duration::from_millis(5)).await;
+            }
+            (looks, reverted)
+        });
+        Self { ended, task }
+    }
+
+    async fn finish(self) {
+        self.ended.store(true, atomic::Ordering::Relaxed);
+        let (looks, reverted) = self.task.await.expect("watch");
+        assert!(looks > 0, "the watch saw nothing");
+        assert!(reverted.is_empty(), "rules reverted at {reverted:?}");
+    }
+}
+
+/// Guards against two accepted changes of one revision, and against an entry that has the rules of
+/// the operator who lost.
+#[tokio::test]
+async fn of_two_racing_operators_one_wins_everywhere() {
+    let env = start(&[1, 1], false).await;
+    let mut files = Vec::new();
+    for user in ["anna", "ben"] {
+        let path = env.directory().join(user);
+        std::fs::write(&path, rules(&["clerk", user])).expect("rules");
+        files.push(path.to_str().expect("UTF-8").to_owned());
+    }
+    let apply = async |file: &str, author: &str| {
+        env.ctl(&[
+            "apply", file, "--author", author, "--base", "1", "--limit", "1m",
+        ])
+        .await
+        .expect("persimmonctl")
+    };
+    let (anna, ben) = tokio::join!(apply(&files[0], "anna"), apply(&files[1], "ben"));
+    let (winner, loser, lost) = match (anna.status.success(), ben.status.success()) {
+        (true, false) => ("anna", "ben", ben),
+        (false, true) => ("ben", "anna", anna),
+        _ => panic!("not one winner: {anna:?} {ben:?}"),
+    };
+    let told = String::from_utf8_lossy(&lost.stderr).into_owned();
+    assert!(told.contains(winner), "{loser} was told {told:?}");
+    let watch = LoginWatch::start(&env, winner, true);
+    env.wait_in_force(&["vm-1-1", "vm-2-1"], 2).await;
+    wait_login(&env, &names(&env), winner, true).await;
+    wait_login(&env, &names(&env), loser, false).await;
+    watch.finish().await;
+}
+
+/// Guards against a change that took effect but is reported as failed or is made twice, when the
+/// store's answer is lost.
+#[tokio::test]
+async fn a_change_whose_answer_is_lost_is_in_force_once() {
+    let env = start(&[1, 1], false).await;
+    let path = env.directory().join("rules");
+    std::fs::write(&path, rules(&["clerk", "anna"])).expect("rules");
+    // The daemons' own writes lose their answers too; a plan for one answer could hit theirs.
+    let plan = fault_plan::FaultPlan {
+        lost_answers: 1_000_000,
+        ..fault_plan::FaultPlan::default()
+    };
+    env.set_platform_faults(plan).await.expect("faults");
+    let file = path.to_str().expect("UTF-8");
+    let apply = ["apply", file, "--author", "anna", "--wait", "--limit", "1m"];
+    let applied = env.ctl(&apply).await.expect("persimmonctl");
+    assert!(applied.status.success(), "{applied:?}");
+    env.set_platform_faults(fault_plan::FaultPlan::default())
+        .await
+        .expect("faults");
+    let platform = env.platform().expect("platform");
+    let log = platform.list(rule_log::LOG_PREFIX).await.expect("log");
+    assert_eq!(log.entries.len(), 2, "{log:?}");
+    // `--wait` has returned, so there is nothing left to wait for.
+    for vm in names(&env) {
+        assert_eq!(takes_login(listen(&env, &vm), "anna").await, Some(true));
+    }
+}
+
+/// Guards against a VM that needs the platform to start: its keeper alone, and all its daemons,
+/// start from what a peer holds, and no older rules come into force anywhere meanwhile. The first
+/// VM's keeper has no peers in its settings and is found by the others.
+#[tokio::test]
+async fn a_vm_restarted_in_an_outage_takes_its_tables_from_a_peer() {
+    let mut env = start(&[2, 1], false).await;
+    env.apply_rules(&rules(&["clerk", "anna"]))
+        .await
+        .expect("rules");
+    env.wait_in_force(&["vm-1-1", "vm-1-2", "vm-2-1"], 2).await;
+    env.set_platform_faults(OUTAGE).await.expect("faults");
+    let watch = LoginWatch::start(&env, "anna", true);
+    for vm in ["vm-1-1", "vm-1-2"] {
+        env.restart(&format!("{vm}-keeper")).await.expect("keeper");
+        env.wait_in_force(&[vm], 2).await;
+        for daemon in ["keeper", "pool", "entry"] {
+            env.kill(&format!("{vm}-{daemon}")).expect("kill");
+        }
+        for daemon in ["keeper", "pool", "entry"] {
+            env.restart(&format!("{vm}-{daemon}")).await.expect(daemon);
+        }
+        env.wait_in_force(&[vm], 2).await;
+        wait_login(&env, &[vm.to_owned()], "anna", true).await;
+    }
+    env.wait_ready().await;
+    for vm in ["vm-1-1", "vm-1-2"] {
+        let report = env.status(vm).await.expect("status");
+        assert!(!report.platform_reachable, "{vm} was not cut off");
+    }
+    watch.finish().await;
+}
+
+/// Guards against a data centre that keeps old rules after it rejoins, or brings them back to the
+/// others.
+#[tokio::test]
+async fn a_data_centre_that_was_cut_off_takes_what_it_missed() {
+    let env = start(&[1, 1, 1], true).await;
+    let sources = |name: &str| {
+        let places = env
+            .vms()
+            .iter()
+            .filter(move |place| place.data_centre == name);
+        places.map(|place| place.source).collect::<Vec<_>>()
+    };
+    let cut = fault_link::LinkRule {
+        cut: true,
+        ..fault_link::LinkRule::default()
+    };
+    let inside = sources("dc-3");
+    for (name, link) in env.links() {
+        if name.starts_with("vm-3-") {
+            link.set_all(cut);
+            for source in &inside {
+                link.set_source(*source, Some(fault_link::LinkRule::default()));
+            }
+        } else if name != "proofs-3/listen" {
+            for source in &inside {
+                link.set_source(*source, Some(cut));
+            }
+        }
+    }
+    let watch = LoginWatch::start(&env, "clerk", false);
+    env.apply_rules(&rules(&["anna"])).await.expect("rules");
+    env.wait_in_force(&["vm-1-1", "vm-2-1"], 2).await;
+    let (near, far) = (
+        ["vm-1-1", "vm-2-1"].map(str::to_owned),
+        ["vm-3-1".to_owned()],
+    );
+    wait_login(&env, &near, "clerk", false).await;
+    assert_eq!(
+        takes_login(listen(&env, "vm-3-1"), "clerk").await,
+        Some(true)
+    );
+    for link in env.links().values() {
+        link.heal();
+    }
+    env.wait_in_force(&["vm-3-1"], 2).await;
+    wait_login(&env, &far, "clerk", false).await;
+    wait_login(&env, &far, "anna", true).await;
+    watch.finish().await;
+}
+
+/// Guards against older rules that come back from a peer that fell behind or from the store.
+#[tokio::test]
+async fn older_rules_are_not_taken_from_a_peer_or_the_store() {
+    let mut env = start(&[1, 1], false).await;
+    env.apply_rules(&rules(&["anna"])).await.expect("rules");
+    let vms = names(&env);
+    env.wait_in_force(&["vm-1-1", "vm-2-1"], 2).await;
+    let watch = LoginWatch::start(&env, "clerk", false);
+    wait_login(&env, &vms, "clerk", false).await;
+
+    let old = rule_log::RuleSnapshot {
+        revision: 1,
+        text: rules(&["clerk"]),
+    };
+    let (removed, added) = rule_log::diff(&rules(&["anna"]), &rules(&["clerk"]));
+    let replayed = rule_log::RuleChange {
+        id: "replayed".to_owned(),
+        revision: 2,
+        author: "nobody".to_owned(),
+        at: 0,
+        removed,
+        added,
+    };
+    for update in [
+        rule_log::RuleUpdate::Snapshot(old.clone()),
+        rule_log::RuleUpdate::Changes(vec![replayed.clone()]),
+    ] {
+        let frame = gossip::GossipFrame {
+            pulses: Vec::new(),
+            rules_revision: 2,
+            wants_tables: false,
+            tables: None,
+            rules: Some(update),
+        };
+        for vm in &vms {
+            let keeper = format!("{vm}-keeper");
+            let peer = env.link_client(&keeper, "vm-old", "persimmon-keeper").await;
+            let peer = peer.expect("link");
+            let (mut writer, mut reader) = peer
+                .open(stream_kind::StreamKind::Gossip)
+                .await
+                .expect("stream");
+            writer.send_last(&frame).await.expect("send");
+            // The answer is sent after the frame was taken.
+            let answer: gossip::GossipFrame = reader.expect().await.expect("answer");
+            assert_eq!(answer.rules_revision, 2);
+        }
+    }
+    let platform = env.platform().expect("platform");
+    for (key, value) in [
+        (
+            rule_log::SNAPSHOT_KEY.to_owned(),
+            serde_json::to_string(&old),
+        ),
+        (rule_log::log_key(2), serde_json::to_string(&replayed)),
+    ] {
+        let body = kv_entry::PutBody {
+            value: value.expect("JSON"),
+            expected: None,
+            lease: None,
+        };
+        platform.put(&key, &body).await.expect("put");
+    }
+    // A change after them shows that the keepers have seen the store as it is now.
+    let (removed, added) = rule_log::diff(&rules(&["anna"]), &rules(&["anna", "ben"]));
+    let body = kv_entry::PutBody {
+        value: serde_json::to_string(&rule_log::RuleChange {
+            id: "next".to_owned(),
+            revision: 3,
+            removed,
+            added,
+            ..replayed
+        })
+        .expect("JSON"),
+        expected: Some(0),
+        lease: None,
+    };
+    platform
+        .put(&rule_log::log_key(3), &body)
+        .await
+        .expect("put");
+    env.wait_in_force(&["vm-1-1", "vm-2-1"], 3).await;
+    wait_login(&env, &vms, "ben", true).await;
+    // A keeper that starts again takes the text in force from its peer, not the store's old one.
+    env.restart("vm-2-1-keeper").await.expect("keeper");
+    env.wait_in_force(&["vm-2-1"], 3).await;
+    wait_login(&env, &vms, "clerk", false).await;
+    watch.finish().await;
+}
+
+/// Guards against a data centre that hears of no change once the keepers that watch the store for
+/// it are gone.
+#[tokio::test]
+async fn other_keepers_watch_when_the_watchers_are_killed() {
+    let mut env = start(&[3], false).await;
+    let mut ranked = names(&env);
+    ranked.sort_by_key(|vm| std::cmp::Reverse(ownership::score(rule_log::RULES_PREFIX, vm)));
+    let last = ranked.pop().expect("three VMs");
+    for vm in &ranked {
+        env.kill(&format!("{vm}-keeper")).expect("kill");
+    }
+    env.apply_rules(&rules(&["anna"])).await.expect("rules");
+    env.wait_in_force(&[&last], 2).await;
+    wait_login(&env, &[last], "anna", true).await;
+    for vm in &ranked {
+        env.restart(&format!("{vm}-keeper")).await.expect("restart");
+    }
+    env.wait_in_force(&["vm-1-1", "vm-1-2", "vm-1-3"], 2).await;
+    wait_login(&env, &names(&env), "clerk", false).await;
+}
+
+/// Guards against an entry or a pool that goes back to older rules because the keeper on its VM
+/// started again and knows only those.
+#[tokio::test]
+async fn entry_and_pool_keep_their_rules_when_their_keeper_has_older_ones() {
+    let mut env = start(&[1], false).await;
+    env.apply_rules(&rules(&["anna"])).await.expect("rules");
+    env.wait_in_force(&["vm-1-1"], 2).await;
+    let platform = env.platform().expect("platform");
+    let mut groups = platform.groups().await.expect("groups");
+    // Shows when the entry has taken the tables.
+    groups[0].databases.push("drafts".to_owned());
+    let old = control_tables::ControlTables {
+        vms: platform.vms().await.expect("VMs"),
+        groups,
+        rules_revision: 1,
+        rules_text: rules(&["clerk"]),
+    };
+    let keeper = env.processes().address("vm-1-1-keeper", "link");
+    env.kill("vm-1-1-keeper").expect("kill");
+    let listener = tokio::net::TcpListener::bind(keeper.expect("address")).await;
+    let hello = hello::Hello::new("vm-1-1", "persimmon-keeper");
+    let (sender, mut reports) = tokio::sync::mpsc::unbounded_channel();
+    let server = server::PeerServer::new(listener.expect("bind"), hello);
+    tokio::spawn(server.run(move |mut stream| {
+        let (old, sender) = (old.clone(), sender.clone());
+        async move {
+            stream.writer.send(&old).await.expect("send");
+            while let Ok(Some(report)) = stream.reader.next::<program_report::ProgramReport>().await
+            {
+                let program = stream.greeting.program.clone();
+                let _sent = sender.send((program, report.rules_revision));
+            }
+        }
+    }));
+    let address = listen(&env, "vm-1-1");
+    waiting::until("the tables to be taken", async || {
+        let drafts = test_env::connect_to(address, "anna", "pencil", "drafts", "").await;
+        drafts.is_ok() || takes_login(address, "clerk").await == Some(true)
+    })
+    .await;
+    assert_eq!(takes_login(address, "clerk").await, Some(false));
+    assert_eq!(takes_login(address, "anna").await, Some(true));
+    // A pool reports after each tables that it takes.
+    let mut heard = collections::BTreeSet::new();
+    while heard.len() < 2 {
+        let (program, revision) = reports.recv().await.expect("report");
+        assert_eq!(revision, 2, "{program}");
+        heard.insert(program);
+    }
+}
+
+/// Guards against a VM that refuses logins for good, as unknown, because its keeper handed out the
+/// groups before it had heard of any rules.
+#[tokio::test]
+async fn a_keeper_hands_out_no_tables_before_it_knows_the_rules() {
+    let (open, opened) = tokio::sync::watch::channel(false);
+    let log = kv_entry::KvListing {
+        revision: 1,
+        entries: vec![kv_entry::KvEntry {
+            key: rule_log::log_key(1),
+            value: serde_json::to_string(&rule_log::RuleChange {
+                id: "first".to_owned(),
+                revision: 1,
+                author: "test".to_owned(),
+                at: 0,
+                removed: Vec::new(),
+                added: rule_log::diff("", &rules(&["clerk"])).1,
+            })
+            .expect("JSON"),
+            revision: 1,
+        }],
+    };
+    let group = group_spec::GroupSpec {
+        group: "proofs".to_owned(),
+        databases: vec!["proofs".to_owned()],
+        upstreams: Vec::new(),
+    };
+    let app = axum::Router::new()
+        .route("/vms", routing::get(async || "[]"))
+        .route(
+            "/groups",
+            routing::get(async move || axum::Json(vec![group])),
+        )
+        .fallback(async move || {
+            // The store is silent at first, while the lists are answered.
+            let mut opened = opened;
+            let _opened = opened.wait_for(|open| *open).await;
+            axum::Json(log)
+        });
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("bind");
+    let platform = listener.local_addr().expect("address").to_string();
+    tokio::spawn(async move { axum::serve(listener, app).await });
+    let directory = tempfile::tempdir().expect("directory");
+    let mut set = process_set::ProcessSet::new(directory.path(), "info");
+    let settings = [
+        ("vm", "vm-1"),
+        ("data_centre", "dc-1"),
+        ("link", "127.0.0.1:0"),
+        ("health", "127.0.0.1:0"),
+        ("platform", &platform),
+    ];
+    let settings = settings.map(|(key, text)| (key.to_owned(), toml::Value::from(text)));
+    let account = "[upstream]\nuser = \"pool\"\npassword = \"pool-secret\"\n";
+    let settings = settings.into_iter().collect();
+    set.add("keeper", "persimmon-keeper", settings, account)
+        .await
+        .expect("keeper");
+    let child = set.get("keeper").expect("keeper");
+    let dialer = dial::TcpDialer {
+        source: None,
+        timeout: time::Duration::from_secs(5),
+    };
+    let link = child.address("link").expect("link");
+    let hello = hello::Hello::new("vm-1", "persimmon-entry");
+    let keeper = client::PeerClient::connect(&dialer, link, &hello)
+        .await
+        .expect("link");
+    let (_writer, mut reader) = keeper
+        .open(stream_kind::StreamKind::Tables)
+        .await
+        .expect("stream");
+    waiting::until("the lists to be read", async || {
+        let text = child.stderr_text().expect("stderr");
+        text.contains("event=platform_reachable")
+    })
+    .await;
+    let health = child.address("health").expect("health");
+    let ready = async || {
+        http_call::call(health, "GET", "/ready", "")
+            .await
+            .expect("ready")
+            .0
+    };
+    assert_eq!(ready().await, 503, "ready without rules");
+    open.send_replace(true);
+    let tables: control_tables::ControlTables = reader.expect().await.expect("tables");
+    assert_eq!(
+        tables.rules_revision, 1,
+        "tables were handed out without rules"
+    );
+    waiting::until("readiness", async || ready().await == 200).await;
+}
--- a/tests/testenv/src/lib.rs
+++ b/tests/testenv/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod child_process;
 pub mod env_plan;
 pub mod http_call;
+pub mod operator;
 pub mod platform_calls;
 pub mod process_set;
 pub mod test_env;
--- a/tests/testenv/src/process_set.rs
+++ b/tests/testenv/src/process_set.rs
@@ -96,6 +96,17 @@
         Ok(())
     }
 
+    /// Kills a process and forgets it.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the name is unknown or the process cannot be waited for.
+    pub fn remove(&mut self, name: &str) -> io::Result<()> {
+        self.specs.remove(name);
+        let child = self.children.remove(name);
+        child.ok_or_else(|| unknown(name))?.kill()
+    }
+
     /// Returns a process.
     ///
     /// # Errors
--- a/tests/testenv/src/test_env.rs
+++ b/tests/testenv/src/test_env.rs
@@ -146,20 +146,34 @@
     async fn start_keepers(&mut self) -> io::Result<()> {
         let mut peers: Vec<toml::Value> = Vec::new();
         for vm in self.vms.clone() {
-            let mut settings = daemon_settings(&vm);
-            let platform = self.address_for_others(PLATFORM, "listen")?;
-            settings.insert("platform".to_owned(), platform.to_string().into());
-            settings.insert("peers".to_owned(), peers.clone().into());
-            settings.insert("upstream".to_owned(), upstream_account().into());
-            let name = format!("{}-keeper", vm.vm);
-            self.add_process(&name, "persimmon-keeper", settings, &["link"])
-                .await?;
-            peers.push(self.address_for_others(&name, "link")?.to_string().into());
+            let address = self.start_keeper(&vm, &peers).await?;
+            peers.push(address.to_string().into());
         }
         Ok(())
     }
 
-    async fn start_daemon(&mut self, vm: &VmPlace, daemon: &str, callers: bool) -> io::Result<()> {
+    pub(crate) async fn start_keeper(
+        &mut self,
+        vm: &VmPlace,
+        peers: &[toml::Value],
+    ) -> io::Result<net::SocketAddr> {
+        let mut settings = daemon_settings(vm);
+        let platform = self.address_for_others(PLATFORM, "listen")?;
+        settings.insert("platform".to_owned(), platform.to_string().into());
+        settings.insert("peers".to_owned(), peers.to_vec().into());
+        settings.insert("upstream".to_owned(), upstream_account().into());
+        let name = format!("{}-keeper", vm.vm);
+        self.add_process(&name, "persimmon-keeper", settings, &["link"])
+            .await?;
+        self.address_for_others(&name, "link")
+    }
+
+    pub(crate) async fn start_daemon(
+        &mut self,
+        vm: &VmPlace,
+        daemon: &str,
+        callers: bool,
+    ) -> io::Result<()> {
         let mut settings = daemon_settings(vm);
         let keeper = self
             .processes
