--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -1,6 +1,8 @@
 //! Pure decisions: typed events and the time go in, actions come out. Nothing here has a socket, a
 //! clock or a random source, so that tests and the load program can drive it.
 
+pub mod barrier;
+pub mod confirm;
 pub mod customer_lane;
 pub mod customer_terms;
 pub mod failover;
@@ -8,6 +10,8 @@
 pub mod membership;
 pub mod ownership;
 pub mod queue;
+pub mod retry_budget;
+pub mod routing;
 pub mod rule_log;
 pub mod running_batches;
 pub mod schedule_event;
--- /dev/null
+++ b/src/entry/observer.rs
@@ -0,0 +1,139 @@
+//! [`GroupObserver`]: reads confirmed primary positions, one observation at a time per group.
+
+use std::collections;
+use std::sync;
+
+use futures::StreamExt;
+use futures::stream;
+
+use crate::decide::barrier;
+use crate::entry::{board, context};
+use crate::link::{observe, stream_kind};
+use crate::model::{log_position, upstream_spec, upstream_state};
+
+type ObserveWaiter = tokio::sync::oneshot::Sender<Option<log_position::LogPosition>>;
+
+#[derive(Debug, Default)]
+struct ObserverState {
+    running: bool,
+    waiting: Vec<ObserveWaiter>,
+}
+
+/// Shares observations among the sessions that need one. A session that asks while one runs gets
+/// the result of the next, because only that begins after it asked.
+#[derive(Debug, Default)]
+pub struct GroupObserver {
+    state: sync::Mutex<ObserverState>,
+}
+
+impl GroupObserver {
+    /// Returns a position confirmed by an observation that begins after this call, or `None` if it
+    /// confirms none.
+    pub async fn confirm(
+        context: &sync::Arc<context::EntryContext>,
+        board: &sync::Arc<board::GroupBoard>,
+    ) -> Option<log_position::LogPosition> {
+        let (sender, receiver) = tokio::sync::oneshot::channel();
+        let start = {
+            let mut state = board.observer.lock();
+            state.waiting.push(sender);
+            !std::mem::replace(&mut state.running, true)
+        };
+        if start {
+            tokio::spawn(Self::run(
+                sync::Arc::clone(context),
+                sync::Arc::clone(board),
+            ));
+        }
+        receiver.await.ok().flatten()
+    }
+
+    /// Tells whether an observation runs now.
+    pub fn is_running(&self) -> bool {
+        self.lock().running
+    }
+
+    fn lock(&self) -> sync::MutexGuard<'_, ObserverState> {
+        self.state
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
+    async fn run(context: sync::Arc<context::EntryContext>, board: sync::Arc<board::GroupBoard>) {
+        loop {
+            let waiting = {
+                let mut state = board.observer.lock();
+                if state.waiting.is_empty() {
+                    state.running = false;
+                    return;
+                }
+                std::mem::take(&mut state.waiting)
+            };
+            let began = context.now();
+            let position = observe_group(&context, &board).await;
+            metrics::counter!("persimmontack_observations_total", "confirmed" => position.is_some().to_string())
+                .increment(1);
+            if let Some(position) = position {
+                board
+                    .history
+                    .lock()
+                    .unwrap_or_else(sync::PoisonError::into_inner)
+                    .record(began, position);
+            }
+            for waiter in waiting {
+                // The session may have given up meanwhile.
+                let _gone = waiter.send(position);
+            }
+        }
+    }
+}
+
+async fn observe_group(
+    context: &context::EntryContext,
+    board: &board::GroupBoard,
+) -> Option<log_position::LogPosition> {
+    let views = board.views();
+    let mut answers: stream::FuturesUnordered<_> = views
+        .iter()
+        .map(|view| observe_upstream(context, &view.spec))
+        .collect();
+    let collect = async {
+        let mut states = collections::HashMap::new();
+        while let Some(answer) = answers.next().await {
+            let Some(state) = answer else { continue };
+            board.apply_state(&state);
+            states.insert(state.upstream.clone(), state);
+            let states: Vec<_> = states.values().cloned().collect();
+            if let Some(position) = barrier::confirm_position(&states) {
+                return Some(position);
+            }
+        }
+        None
+    };
+    tokio::time::timeout(context.settings.limits.observe, collect)
+        .await
+        .ok()
+        .flatten()
+}
+
+async fn observe_upstream(
+    context: &context::EntryContext,
+    spec: &upstream_spec::UpstreamSpec,
+) -> Option<upstream_state::UpstreamState> {
+    // The first owner may be cut off from the upstream while the next is not.
+    for pool in context.owners(spec).into_iter().take(2) {
+        let Ok((mut writer, mut reader)) = pool.open(stream_kind::StreamKind::Observe).await else {
+            continue;
+        };
+        let request = observe::ObserveRequest {
+            upstreams: vec![spec.upstream.clone()],
+        };
+        if writer.send_last(&request).await.is_err() {
+            continue;
+        }
+        if let Ok(Some(reply)) = reader.next::<observe::ObserveReply>().await {
+            return Some(reply.state);
+        }
+    }
+    None
+}
--- /dev/null
+++ b/src/entry/route.rs
@@ -0,0 +1,177 @@
+//! Finds the upstream for a batch, waiting for one within the batch's deadline.
+
+use std::pin;
+use std::sync;
+use std::time;
+
+use crate::decide::{barrier, routing};
+use crate::entry::{batch, observer, session, unit};
+use crate::link::work_request;
+use crate::model::{ids, log_position, refusal_reason};
+
+/// Longest wait without a look at the tables; changes wake the wait earlier.
+const CHECK_INTERVAL: time::Duration = time::Duration::from_millis(100);
+/// Pause after an observation that confirmed nothing.
+const OBSERVE_PAUSE: time::Duration = time::Duration::from_millis(10);
+
+/// A refusal, with the words for the caller.
+#[derive(Debug)]
+pub struct RouteRefusal {
+    pub reason: refusal_reason::RefusalReason,
+    pub text: String,
+    pub detail: String,
+}
+
+/// Why no upstream was found.
+#[derive(Debug)]
+pub enum RouteFailure {
+    Gone,
+    Refused(RouteRefusal),
+}
+
+pub type Cancelled<'a, 'b> = pin::Pin<&'a mut tokio::sync::futures::Notified<'b>>;
+
+impl session::CallerSession {
+    /// Returns the position that a read has to see.
+    pub(super) async fn read_floor(
+        &mut self,
+        batch: &batch::CallerBatch,
+        deadline: time::Duration,
+        mut cancelled: Cancelled<'_, '_>,
+    ) -> Result<log_position::LogPosition, RouteFailure> {
+        let board = sync::Arc::clone(&self.board);
+        let age = self.parameters.max_age.or_else(|| {
+            let tables = self.context.tables();
+            let rule = tables.rules.read_rule(&self.database, &batch.tables);
+            rule.map(|rule| rule.max_age)
+        });
+        if let Some(age) = age {
+            let now = self.context.now();
+            let (floor, newest) = {
+                let history = board
+                    .history
+                    .lock()
+                    .unwrap_or_else(sync::PoisonError::into_inner);
+                (history.floor(now, age), history.newest_age(now))
+            };
+            if let Some(floor) = floor {
+                if newest.is_none_or(|newest| newest > age / 4) && !board.observer.is_running() {
+                    let context = sync::Arc::clone(&self.context);
+                    tokio::spawn(async move {
+                        observer::GroupObserver::confirm(&context, &board).await;
+                    });
+                }
+                return Ok(self.barrier.floor(floor));
+            }
+        } else if let barrier::ReadRequirement::At(position) =
+            self.barrier.requirement(self.parameters.position.is_some())
+        {
+            return Ok(position);
+        }
+        loop {
+            let confirm = observer::GroupObserver::confirm(&self.context, &board);
+            let confirmed = tokio::select! {
+                confirmed = confirm => confirmed,
+                () = &mut cancelled => return Err(cancelled_refusal()),
+                () = self.reader.gone() => return Err(RouteFailure::Gone),
+            };
+            if let Some(position) = confirmed {
+                if age.is_none() {
+                    self.barrier.observe(position);
+                }
+                return Ok(self.barrier.floor(position));
+            }
+            if self.context.now() >= deadline {
+                return Err(RouteFailure::Refused(RouteRefusal {
+                    reason: refusal_reason::RefusalReason::NoConfirmedPosition,
+                    text: "not run: no confirmed primary position could be read in time".to_owned(),
+                    detail: format!("step=observe peer={}", self.board.group),
+                }));
+            }
+            tokio::time::sleep(OBSERVE_PAUSE).await;
+        }
+    }
+
+    /// Waits for an upstream that may run the batch.
+    pub(super) async fn find_route(
+        &mut self,
+        access: work_request::WorkAccess,
+        floor: log_position::LogPosition,
+        deadline: time::Duration,
+        avoid: &[ids::UpstreamId],
+        mut cancelled: Cancelled<'_, '_>,
+    ) -> Result<(routing::RouteChoice, routing::UpstreamView), RouteFailure> {
+        let board = sync::Arc::clone(&self.board);
+        let mut changes = board.subscribe();
+        let fallback_at = self.context.now() + self.context.settings.limits.replica_wait;
+        loop {
+            changes.mark_unchanged();
+            let views = board.views();
+            let now = self.context.now();
+            let (choice, wake_at) = if access == work_request::WorkAccess::Write {
+                (routing::route_write(&views), deadline)
+            } else {
+                let data_centre = &self.context.settings.data_centre;
+                let replica = routing::route_read(&views, floor, data_centre, avoid);
+                if replica.is_some() || now < fallback_at {
+                    (replica, fallback_at)
+                } else {
+                    (routing::route_fallback(&views, floor, avoid), deadline)
+                }
+            };
+            let view = choice.as_ref().and_then(|choice| {
+                views
+                    .iter()
+                    .find(|view| view.spec.upstream == choice.upstream)
+            });
+            if let (Some(choice), Some(view)) = (choice.clone(), view) {
+                return Ok((choice, view.clone()));
+            }
+            if now >= deadline {
+                let (reason, text) = if access == work_request::WorkAccess::Write {
+                    (
+                        refusal_reason::RefusalReason::NoPrimary,
+                        "not run: no primary can be reached",
+                    )
+                } else {
+                    (
+                        refusal_reason::RefusalReason::NoFreshUpstream,
+                        "not run: no upstream that is fresh enough can be reached",
+                    )
+                };
+                return Err(RouteFailure::Refused(RouteRefusal {
+                    reason,
+                    text: text.to_owned(),
+                    detail: format!("step=route peer={} position={floor}", self.board.group),
+                }));
+            }
+            let pause = wake_at
+                .min(deadline)
+                .saturating_sub(now)
+                .min(CHECK_INTERVAL);
+            tokio::select! {
+                _changed = changes.changed() => {}
+                () = tokio::time::sleep(pause.max(time::Duration::from_millis(1))) => {}
+                () = &mut cancelled => return Err(cancelled_refusal()),
+                () = self.reader.gone() => return Err(RouteFailure::Gone),
+            }
+        }
+    }
+}
+
+fn cancelled_refusal() -> RouteFailure {
+    RouteFailure::Refused(RouteRefusal {
+        reason: refusal_reason::RefusalReason::Cancelled,
+        text: "not run: the caller cancelled the statement before it was sent".to_owned(),
+        detail: "step=route".to_owned(),
+    })
+}
+
+impl From<RouteFailure> for Result<RouteRefusal, unit::CallerGone> {
+    fn from(failure: RouteFailure) -> Self {
+        match failure {
+            RouteFailure::Gone => Err(unit::CallerGone),
+            RouteFailure::Refused(refusal) => Ok(refusal),
+        }
+    }
+}
