--- a/load/src/session.rs
+++ b/load/src/session.rs
@@ -21,6 +21,8 @@
     pub password: String,
     /// Database.
     pub database: String,
+    /// Start-up options; empty for none.
+    pub options: String,
 }
 
 /// A caller's session. It opens its connection on first use and again after a failure.
@@ -97,6 +99,7 @@
             .user(&self.login.user)
             .password(&self.login.password)
             .dbname(&self.login.database)
+            .options(&self.login.options)
             .ssl_mode(config::SslMode::Disable)
             .connect(tokio_postgres::NoTls)
             .await
--- a/load/src/tally.rs
+++ b/load/src/tally.rs
@@ -89,7 +89,7 @@
             *self.ends.entry(*end).or_default() += count;
         }
         // Both histograms have the same bounds, so adding cannot fail.
-        drop(self.histogram.add(&other.histogram));
+        let _same_bounds = self.histogram.add(&other.histogram);
     }
 
     /// Returns the number of requests that ended in one way.
@@ -98,6 +98,17 @@
         self.ends.get(&end).copied().unwrap_or_default()
     }
 
+    /// Returns the number of requests that were not answered.
+    #[must_use]
+    pub fn others(&self) -> u64 {
+        let answered = |end: &&RequestEnd| **end != RequestEnd::Answered;
+        self.ends
+            .keys()
+            .filter(answered)
+            .map(|end| self.count(*end))
+            .sum()
+    }
+
     /// Returns a latency quantile of the answered requests.
     #[must_use]
     pub fn quantile(&self, quantile: f64) -> time::Duration {
