--- a/load/src/main.rs
+++ b/load/src/main.rs
@@ -20,8 +20,8 @@
 use gumdrop::Options;
 
 fn main() -> process::ExitCode {
-    let options = options::LoadOptions::parse_args_default_or_exit();
-    let Some(measure) = options.measure else {
+    let line = options::CommandLine::parse_args_default_or_exit();
+    let Some(measure) = line.measure else {
         eprintln!("persimmon-load: a measure is missing; see persimmon-load --help");
         return process::ExitCode::from(2);
     };
@@ -32,7 +32,7 @@
             return process::ExitCode::FAILURE;
         }
     };
-    match runtime.block_on(run(&options, measure)) {
+    match runtime.block_on(run(&measure)) {
         Ok(()) => process::ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("persimmon-load: {error}");
@@ -41,10 +41,8 @@
     }
 }
 
-async fn run(
-    options: &options::LoadOptions,
-    measure: options::Measure,
-) -> Result<(), Box<dyn std::error::Error>> {
+async fn run(measure: &options::Measure) -> Result<(), Box<dyn std::error::Error>> {
+    let options = measure.options();
     let profiles = match &options.profile {
         Some(profile) => vec![profile.clone()],
         None => vec![profile::PSALMHAND, profile::BLUEBONNET],
--- a/load/src/options.rs
+++ b/load/src/options.rs
@@ -8,6 +8,37 @@
 
 /// Measures persimmontack under load and through failures.
 #[derive(Debug, Options)]
+pub struct CommandLine {
+    /// Prints the help.
+    #[options(help = "print this help")]
+    pub help: bool,
+    /// What is measured.
+    #[options(command)]
+    pub measure: Option<Measure>,
+}
+
+/// What is measured.
+#[derive(Debug, Options)]
+pub enum Measure {
+    /// Added latency and throughput.
+    #[options(help = "added latency and throughput of one entry and one pool")]
+    Latency(LoadOptions),
+    /// Reads on replicas.
+    #[options(help = "share of reads on replicas, and stale reads")]
+    Replicas(LoadOptions),
+    /// Failovers.
+    #[options(help = "service gaps when the primary fails, and false promotions")]
+    Failover(LoadOptions),
+    /// Swings of demand.
+    #[options(help = "goodput, fairness and recovery when demand exceeds capacity")]
+    Swing(LoadOptions),
+    /// Short work beside long work.
+    #[options(help = "latency of short work beside exports")]
+    Blocking(LoadOptions),
+}
+
+/// Options of a measure.
+#[derive(Debug, Options)]
 pub struct LoadOptions {
     /// Prints the help.
     #[options(help = "print this help")]
@@ -33,39 +64,12 @@
     /// Where the files of the processes are kept.
     #[options(no_short, help = "directory to which logs are copied after each run")]
     pub logs: Option<path::PathBuf>,
-    /// What is measured.
-    #[options(command)]
-    pub measure: Option<Measure>,
 }
 
-/// What is measured.
-#[derive(Clone, Copy, Debug, Options)]
-pub enum Measure {
-    /// Added latency and throughput.
-    #[options(help = "added latency and throughput of one entry and one pool")]
-    Latency(NoOptions),
-    /// Reads on replicas.
-    #[options(help = "share of reads on replicas, and stale reads")]
-    Replicas(NoOptions),
-    /// Failovers.
-    #[options(help = "service gaps when the primary fails, and false promotions")]
-    Failover(NoOptions),
-    /// Swings of demand.
-    #[options(help = "goodput, fairness and recovery when demand exceeds capacity")]
-    Swing(NoOptions),
-    /// Short work beside long work.
-    #[options(help = "latency of short work beside exports")]
-    Blocking(NoOptions),
-}
-
-/// A subcommand without options of its own.
-#[derive(Clone, Copy, Debug, Options)]
-pub struct NoOptions {}
-
 impl Measure {
     /// Returns the name of the subcommand.
     #[must_use]
-    pub const fn name(self) -> &'static str {
+    pub const fn name(&self) -> &'static str {
         match self {
             Self::Latency(_) => "latency",
             Self::Replicas(_) => "replicas",
@@ -74,6 +78,18 @@
             Self::Blocking(_) => "blocking",
         }
     }
+
+    /// Returns the measure's options.
+    #[must_use]
+    pub const fn options(&self) -> &LoadOptions {
+        match self {
+            Self::Latency(options)
+            | Self::Replicas(options)
+            | Self::Failover(options)
+            | Self::Swing(options)
+            | Self::Blocking(options) => options,
+        }
+    }
 }
 
 impl LoadOptions {
