--- a/tests/transactions.rs
+++ b/tests/transactions.rs
@@ -153,7 +153,7 @@
     let plan = env_plan::EnvPlan::new(&[2])
         .rules(&env_plan::login_rules(USER, PASSWORD))
         .group(DATABASE, |_index, upstream| {
-            upstream.connections = CONNECTIONS
+            upstream.connections = CONNECTIONS;
         });
     let mut env = test_env::TestEnv::start(plan).await.expect("start");
     env.wait_ready().await;
