Start no batch on an upstream that began to leave while the batch waited

The pool looked whether an upstream is leaving only when a unit arrived. A batch that waited for a slot or a connection by then started whenever its turn came, up to its deadline. After a change of the platform's list it even waited in a queue of its own, since the pool replaces the upstream's value.

The entry was ruled out: it sent nothing new after the notice. The pool now looks again before the first byte, and a value that was replaced counts as leaving.

--- a/src/pool/upstream.rs
+++ b/src/pool/upstream.rs
@@ -164,6 +164,8 @@
 
     /// Stops the control connections and closes what is idle.
     pub fn stop(&self) {
+        // Batches that wait here go to what takes this value's place.
+        self.leaving.store(true, atomic::Ordering::Relaxed);
         for task in self.lock_tasks().drain(..) {
             task.abort();
         }
--- a/src/pool/work.rs
+++ b/src/pool/work.rs
@@ -194,6 +194,14 @@
                 }
             }
         };
+        // The upstream may have begun to leave while the batch waited.
+        if autocommit && self.upstream.is_leaving() {
+            held.give_back();
+            drop(slot);
+            let reason = refusal_reason::RefusalReason::Leaving;
+            let detail = format!("upstream {} is leaving", self.request.upstream);
+            return self.end_refused((reason, detail), None).await;
+        }
         // Only an autocommit read may be repeated, so only it may be given up by suspicion.
         let repeatable = autocommit
             && self.request.access == work_request::WorkAccess::Read
