Add persimmon-soak, a seeded run of the whole set under faults

It starts the set by testenv, draws a schedule of faults from a seed, runs callers of six habits, and judges the run by the instances' journals and by what the callers were told. A ROLLBACK of a transaction that its caller knows to be gone may run nowhere, because the entry answers it (answer_lost).

--- /dev/null
+++ b/load/src/bin/persimmon-soak.rs
@@ -0,0 +1,27 @@
+//! Runs the whole set under a seeded schedule of faults and checks every guarantee at the end.
+//!
+//! The seed decides which faults come when and what callers ask for. What the faults meet depends
+//! on the clock of the machine, so two runs of a seed differ in their effects.
+
+#[path = "../soak/mod.rs"]
+mod soak;
+
+use std::process;
+
+use gumdrop::Options;
+use persimmontack::exit_code;
+
+use soak::{options, run};
+
+#[tokio::main]
+async fn main() -> process::ExitCode {
+    let options = options::SoakOptions::parse_args_default_or_exit();
+    match run::run(&options).await {
+        Ok(true) => exit_code::ExitCode::Success.into(),
+        Ok(false) => exit_code::ExitCode::Failure.into(),
+        Err(error) => {
+            eprintln!("persimmon-soak: {error}");
+            exit_code::ExitCode::Failure.into()
+        }
+    }
+}
--- /dev/null
+++ b/load/src/soak/replay.rs
@@ -0,0 +1,45 @@
+//! [`ReplayedLog`]: the log of an instance as its journal gives it.
+
+use std::collections;
+
+use standins::instance::{journal, log_entry};
+
+/// The log of an instance as its journal gives it.
+#[derive(Debug, Default)]
+pub struct ReplayedLog {
+    /// Entries in order.
+    pub entries: Vec<log_entry::LogEntry>,
+}
+
+impl ReplayedLog {
+    /// Replays a journal.
+    pub fn new(events: &[journal::JournalEvent]) -> Self {
+        let mut log = Self::default();
+        for event in events {
+            match event {
+                journal::JournalEvent::Commit { entry, .. }
+                | journal::JournalEvent::Received { entry }
+                | journal::JournalEvent::Promote { entry } => log.entries.push(entry.clone()),
+                journal::JournalEvent::TailDropped { after, .. } => {
+                    let keep = usize::try_from(*after).unwrap_or(usize::MAX);
+                    log.entries.truncate(keep);
+                }
+                _ => {}
+            }
+        }
+        log
+    }
+
+    /// Returns the indexes of the entries that insert each key.
+    pub fn inserts(&self) -> collections::HashMap<&str, Vec<usize>> {
+        let mut inserts: collections::HashMap<&str, Vec<usize>> = collections::HashMap::new();
+        for (index, entry) in self.entries.iter().enumerate() {
+            for write in &entry.writes {
+                if let log_entry::WriteOp::Insert { k, .. } = write {
+                    inserts.entry(k).or_default().push(index);
+                }
+            }
+        }
+        inserts
+    }
+}
