--- a/load/src/soak/caller.rs
+++ b/load/src/soak/caller.rs
@@ -86,10 +86,10 @@
         while !stop.load(atomic::Ordering::Acquire) {
             self.round().await;
             let pause = match self.habit {
-                CallerHabit::Stay | CallerHabit::Named => 5..40,
-                CallerHabit::Carry | CallerHabit::Fresh => 40..120,
-                CallerHabit::Aged(_) => 10..60,
-                CallerHabit::Export => 50..300,
+                CallerHabit::Stay | CallerHabit::Named => 2..25,
+                CallerHabit::Carry | CallerHabit::Fresh => 20..80,
+                CallerHabit::Aged(_) => 5..40,
+                CallerHabit::Export => 30..200,
             };
             let pause = self.random.random_range(pause);
             tokio::time::sleep(time::Duration::from_millis(pause)).await;
@@ -260,6 +260,10 @@
         let sent = self.history.started.elapsed();
         let text = format!("/* id={id} */ {sql}");
         let (outcome, rows) = link.ask(&text, parameters, mode).await;
+        if outcome == history::ToldOutcome::Unknown(caller_link::NO_ANSWER.to_owned()) {
+            let text = format!("{id} at {} got no outcome: {sql}", link.vm);
+            self.history.find("hang", text, vec![id.to_owned()]);
+        }
         self.history.record(history::ToldRequest {
             id: id.to_owned(),
             group: self.group.clone(),
--- a/load/src/soak/caller_link.rs
+++ b/load/src/soak/caller_link.rs
@@ -14,6 +14,8 @@
 const CONNECT_LIMIT: time::Duration = time::Duration::from_secs(6);
 /// Time after which a caller gives up a request. Longer than the longest freeze of a process.
 const ANSWER_LIMIT: time::Duration = time::Duration::from_secs(25);
+/// Text of the outcome after that time.
+pub const NO_ANSWER: &str = "no answer in time";
 /// SQLSTATEs that mean "not run" whatever the text.
 const NOT_RUN: [&str; 5] = ["57P03", "53300", "53400", "0A000", "57P01"];
 
@@ -113,7 +115,7 @@
             Ok(Ok(rows)) => (history::ToldOutcome::Done, rows),
             Ok(Err(error)) => (outcome_of(&error), Vec::new()),
             Err(_late) => (
-                history::ToldOutcome::Unknown("no answer in time".to_owned()),
+                history::ToldOutcome::Unknown(NO_ANSWER.to_owned()),
                 Vec::new(),
             ),
         }
--- a/load/src/soak/report.rs
+++ b/load/src/soak/report.rs
@@ -12,7 +12,7 @@
 const PRINTED_FINDINGS: usize = 8;
 
 /// Classes of findings, with what each one guards.
-const CLASSES: [(&str, &str); 15] = [
+const CLASSES: [(&str, &str); 16] = [
     ("lost", "no acknowledged write is missing"),
     ("doubled", "no request runs or commits twice"),
     ("not-run", "what is told as not run did not run"),
@@ -28,6 +28,7 @@
     ("log", "entries of one position are the same everywhere"),
     ("rules", "accepted rules stay, revisions never go back"),
     ("login", "logins of all revisions are accepted"),
+    ("hang", "each request gets an outcome"),
     ("recovery", "the set recovers within a minute"),
     ("crash", "no process ends by itself"),
     ("stop", "a process ends in time after SIGTERM, with code 0"),
@@ -49,11 +50,15 @@
         if let Some(count) = row.get_mut(column) {
             *count += 1;
         }
+        let took = request.ended.saturating_sub(request.sent).as_millis();
+        if let [.., longest] = row {
+            *longest = (*longest).max(usize::try_from(took).unwrap_or(usize::MAX));
+        }
     }
-    println!("\nrequest    done  not run  dropped  failed  unknown");
+    println!("\nrequest    done  not run  dropped  failed  unknown  longest");
     for (kind, row) in &counts {
-        let [done, not_run, dropped, failed, unknown, _] = row;
-        println!("{kind:8} {done:6} {not_run:8} {dropped:8} {failed:7} {unknown:8}");
+        let [done, not_run, dropped, failed, unknown, longest] = row;
+        println!("{kind:8} {done:6} {not_run:8} {dropped:8} {failed:7} {unknown:8} {longest:5} ms");
     }
     print_texts(&requests);
     let findings = history.findings();
--- a/load/src/soak/schedule.rs
+++ b/load/src/soak/schedule.rs
@@ -11,7 +11,7 @@
 /// Calm at the start, so that each run begins with a working set.
 const FIRST_CALM: time::Duration = time::Duration::from_secs(3);
 /// Share of faults that overlap with a second one.
-const PAIR_SHARE: f64 = 0.55;
+const PAIR_SHARE: f64 = 0.65;
 /// Share of faults on instances that are aimed at the primary.
 const PRIMARY_SHARE: f64 = 0.4;
 
@@ -58,7 +58,7 @@
         } else {
             faults.push(first);
         }
-        next = ends + drawer.millis(300, 2_500);
+        next = ends + drawer.millis(200, 1_200);
     }
     faults
 }
@@ -139,8 +139,11 @@
         }
     }
 
+    /// Draws a time, short ones more often.
     fn millis(&mut self, least: u64, below: u64) -> time::Duration {
-        time::Duration::from_millis(self.random.random_range(least..below))
+        let drawn = self.random.random_range(least..below);
+        let again = self.random.random_range(least..below);
+        time::Duration::from_millis(drawn.min(again))
     }
 
     fn target(&mut self) -> fault::FaultTarget {
