--- a/load/src/soak/report.rs
+++ b/load/src/soak/report.rs
@@ -51,9 +51,8 @@
             *count += 1;
         }
         let took = request.ended.saturating_sub(request.sent).as_millis();
-        if let [.., longest] = row {
-            *longest = (*longest).max(usize::try_from(took).unwrap_or(usize::MAX));
-        }
+        let [.., longest] = row;
+        *longest = (*longest).max(usize::try_from(took).unwrap_or(usize::MAX));
     }
     println!("\nrequest    done  not run  dropped  failed  unknown  longest");
     for (kind, row) in &counts {
