Ask for a confirmed position before a transaction that may write

Cause: a transaction that may write went to whatever primary the entry knew, without a position. On an entry that is cut off with a replaced primary, BEGIN and SELECT read stale rows, also for sessions that carried a later position. Seen by tests/read_your_writes.rs before: 'TwoAtOnce read Some(43) (in a transaction: true), 44 was acknowledged' and 'Stays, in a transaction: true' reading 'old'. Ruled out: plain reads (same tests, refused as they should). Change: BEGIN needs a position like a read (the session's own, or a confirmed one, never an aged one), writes go only to a primary of at least that position's term, and a single statement without a commit (such as an UPDATE of no row) is told only after a confirmed position of the same term that was read after it.

--- a/src/decide/routing.rs
+++ b/src/decide/routing.rs
@@ -67,11 +67,12 @@
         .filter(|(view, _)| view.reach != UpstreamReach::Lost)
 }
 
-/// Chooses the upstream for a write.
+/// Chooses the upstream for a unit that may write. It may read as well, so a primary below
+/// `least_term`, the term of a position that the session has to see, does not do.
 #[must_use]
-pub fn route_write(views: &[UpstreamView]) -> Option<RouteChoice> {
+pub fn route_write(views: &[UpstreamView], least_term: ids::TermNumber) -> Option<RouteChoice> {
     let (view, term) = find_primary(views)?;
-    (!view.leaving).then(|| RouteChoice {
+    (!view.leaving && term >= least_term).then(|| RouteChoice {
         upstream: view.spec.upstream.clone(),
         term: Some(term),
         reason: RouteReason::PrimaryWrite,
--- a/src/entry/explain.rs
+++ b/src/entry/explain.rs
@@ -49,7 +49,7 @@
     let access = class.access();
     let mut steps = vec![format!("The statement is classified as a {access}.")];
     let choice = if access == work_request::WorkAccess::Write {
-        routing::route_write(&views)
+        routing::route_write(&views, request.position.unwrap_or_default().term)
     } else {
         let age = request.max_age.or_else(|| {
             let rule = tables.rules.read_rule(&request.database, &class.tables);
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -67,13 +67,15 @@
             } else {
                 limits.read_deadline
             };
-        let floor = if access == work_request::WorkAccess::Read {
+        // A transaction may read what a replaced primary has. The commit of a single write proves
+        // that its primary was none.
+        let floor = if access == work_request::WorkAccess::Read || batch.begins() {
             match self.read_floor(batch, deadline, cancelled.as_mut()).await {
                 Ok(floor) => floor,
                 Err(failure) => return self.refuse(Result::from(failure)?).await,
             }
         } else {
-            log_position::LogPosition::default()
+            self.barrier.own().unwrap_or_default()
         };
         let mut avoid = Vec::new();
         let mut attempt = 0;
@@ -196,6 +198,7 @@
                 upstream: choice.upstream.clone(),
                 access,
                 term: choice.term,
+                unproved: hold && !batch.begins(),
                 pool: pool.vm.clone(),
                 tables: batch.tables.clone(),
                 failed: false,
@@ -386,7 +389,9 @@
     ) -> Result<bool, unit::CallerGone> {
         let upstream = unit.upstream.clone();
         let conflict = done.sql_state.as_deref() == Some(sql_state::UNIQUE_VIOLATION);
-        let term = unit.term.filter(|_| conflict);
+        // Nothing shows yet that a single statement without a commit did not read a replaced primary.
+        let unproved = unit.unproved && done.position.is_none() && done.sql_state.is_none();
+        let term = unit.term.filter(|_| conflict || unproved);
         let tables = std::mem::take(&mut unit.tables);
         match done.status {
             work_reply::TransactionStatus::Idle => unit.finish(),
@@ -400,15 +405,15 @@
             .write_rule(&tables)
             .is_some_and(|rule| rule.acknowledge == rule_set::AcknowledgeMode::Primary);
         if let Some(term) = term.filter(|_| !relaxed)
-            && !self.conflict_is_kept(&upstream, term).await?
+            && !self.is_proved(&upstream, term, conflict).await?
         {
             if sent {
                 // Part of the answer is out, so only the end of the connection takes it back.
                 return Err(unit::CallerGone);
             }
             self.writer.output.clear();
-            let detail = format!("step=confirm_conflict peer={upstream} term={term}");
-            if done.position.is_some() {
+            let detail = format!("step=prove peer={upstream} term={term}");
+            if unproved || done.position.is_some() {
                 self.end_unknown(&detail).await?;
                 return Ok(false);
             }
--- a/src/entry/route.rs
+++ b/src/entry/route.rs
@@ -32,7 +32,7 @@
 pub type Cancelled<'a, 'b> = pin::Pin<&'a mut tokio::sync::futures::Notified<'b>>;
 
 impl session::CallerSession {
-    /// Returns the position that a read has to see.
+    /// Returns the position that a read, or a transaction that may read, has to see.
     pub(super) async fn read_floor(
         &mut self,
         batch: &batch::CallerBatch,
@@ -40,11 +40,12 @@
         mut cancelled: Cancelled<'_, '_>,
     ) -> Result<log_position::LogPosition, RouteFailure> {
         let board = sync::Arc::clone(&self.board);
-        let age = self.parameters.max_age.or_else(|| {
+        let aged = self.parameters.max_age.or_else(|| {
             let tables = self.context.tables();
             let rule = tables.rules.read_rule(&self.database, &batch.tables);
             rule.map(|rule| rule.max_age)
         });
+        let age = aged.filter(|_| batch.access() == work_request::WorkAccess::Read);
         if let Some(age) = age {
             let now = self.context.now();
             let (floor, newest) = {
@@ -109,7 +110,7 @@
             let views = board.views();
             let now = self.context.now();
             let (choice, wake_at) = if access == work_request::WorkAccess::Write {
-                (routing::route_write(&views), deadline)
+                (routing::route_write(&views, floor.term), deadline)
             } else {
                 let data_centre = &self.context.settings.data_centre;
                 let replica = routing::route_read(&views, floor, data_centre, avoid);
--- a/src/entry/settlement.rs
+++ b/src/entry/settlement.rs
@@ -37,12 +37,14 @@
         }
     }
 
-    /// Tells whether the row that a unique violation met is kept. Callers take the violation for proof
-    /// that an earlier transaction took effect, so it must not be told of a row that can be dropped.
-    pub(super) async fn conflict_is_kept(
+    /// Tells whether the primary of `term` was not replaced when it answered, and if the answer was a
+    /// unique violation (`conflict`), whether the row that it met is kept. Callers take a violation
+    /// for proof that an earlier transaction took effect, so a failover must not drop that row.
+    pub(super) async fn is_proved(
         &mut self,
         upstream: &str,
         term: ids::TermNumber,
+        conflict: bool,
     ) -> Result<bool, unit::CallerGone> {
         let deadline = self.context.now() + self.context.settings.limits.confirm_deadline;
         let board = sync::Arc::clone(&self.board);
@@ -54,8 +56,9 @@
             };
             if let Some(position) = confirmed {
                 return Ok(position.term == term
-                    && self.wait_for_confirmation(upstream, position).await?
-                        == confirm::CommitVerdict::Kept);
+                    && (!conflict
+                        || self.wait_for_confirmation(upstream, position).await?
+                            == confirm::CommitVerdict::Kept));
             }
             if self.context.now() >= deadline {
                 return Ok(false);
--- a/src/entry/unit.rs
+++ b/src/entry/unit.rs
@@ -51,6 +51,8 @@
     pub access: work_request::WorkAccess,
     /// Term of the primary that it runs on, if it was chosen as such.
     pub term: Option<ids::TermNumber>,
+    /// Whether it may have read and only its commit shows that its primary was not replaced.
+    pub unproved: bool,
     pub pool: ids::VmId,
     /// Tables that the unit has named, for the rule in force at its commit.
     pub tables: Vec<String>,
--- a/tests/decide_entry.rs
+++ b/tests/decide_entry.rs
@@ -335,8 +335,10 @@
             .iter()
             .filter_map(|view| view.state.as_ref()?.primary_term)
             .max();
-        if let Some(choice) = routing::route_write(&views) {
+        if let Some(choice) = routing::route_write(&views, floor.term) {
             assert!(usable(view_of(&choice)));
+            // Guards against a transaction on a primary that the session knows to be replaced.
+            assert!(choice.term >= Some(floor.term));
             assert_eq!(choice.term, highest);
         }
         let qualifying = views
