--- a/tests/testenv/src/proof.rs
+++ b/tests/testenv/src/proof.rs
@@ -24,6 +24,9 @@
 /// SQLSTATEs that say that nothing was run.
 const NOT_RUN: [&str; 4] = ["57P03", "53300", "53400", "57P01"];
 
+/// Settings of the keepers.
+pub const KEEPER_TIMES: &str = "[failover]\nsilence_ms = 2000\n";
+
 /// A rule that cuts a link. The flow stops too, so that held bytes do not pass while the link closes.
 pub const CUT: fault_link::LinkRule = fault_link::LinkRule {
     cut: true,
@@ -42,7 +45,8 @@
 }
 
 /// Plans three data centres with one VM and one upstream each, and a fault link before each listener.
-/// `limits` is TOML for the entries' `[limits]`.
+/// `limits` is TOML for the entries' `[limits]`. Silence is suffered for longer than by default, because
+/// a busy test machine stalls for a second and a test has to know its primary.
 #[must_use]
 pub fn plan(limits: &str) -> env_plan::EnvPlan {
     let mut plan = env_plan::EnvPlan::new(&[1, 1, 1])
@@ -51,6 +55,8 @@
         .with_fault_links();
     let limits = format!("[limits]\n{limits}\n");
     plan.settings.insert("persimmon-entry".to_owned(), limits);
+    plan.settings
+        .insert("persimmon-keeper".to_owned(), KEEPER_TIMES.to_owned());
     plan
 }
 
