--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -205,7 +205,8 @@
         let mut rows = pin::pin!(rows);
         let mut expected = 0;
         let ended = loop {
-            match rows.next().await {
+            let next = tokio::time::timeout(waiting::WAIT_LIMIT, rows.next()).await;
+            match next.expect("the answer goes on or ends") {
                 Some(Ok(row)) => {
                     expected += 1;
                     assert_eq!(row.get::<_, i32>(0), expected);
