Hold answers back in the proof until batches have been given up

The test of late answers ended each fault before any batch had timed out, so no answer was late. It now waits until the pool has given up a batch on the instance whose answers are held back.

--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -147,6 +147,11 @@
     }
 }
 
+fn log_lines(env: &mut test_env::TestEnv, event: &str) -> usize {
+    let pool = env.processes().get("vm-1-1-pool").expect("a pool");
+    pool.stderr_text().expect("stderr").matches(event).count()
+}
+
 /// Guards against a late answer that is taken for that of a later request on the same connection or
 /// stream, and against an answer that reaches another caller.
 #[tokio::test(flavor = "multi_thread")]
@@ -170,12 +175,16 @@
         if what == "link" {
             crowd.counts.wait_failed("callers hear of the fault").await;
         } else {
-            // What runs on this instance is given up or moves on while its answers are held back.
-            crowd
-                .counts
-                .wait_done("callers go on beside the fault", 50)
-                .await;
+            // Only an answer to a batch that was given up can be late.
+            let given_up = format!("event=batch_broken upstream={name} ");
+            let before = log_lines(&mut env, &given_up);
+            waiting::until("batches are given up", || {
+                let more = log_lines(&mut env, &given_up) > before;
+                async move { more }
+            })
+            .await;
         }
+        let link = env.link(name, what).expect("a link");
         link.heal();
     }
     crowd
