--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -3,8 +3,8 @@
 use std::collections;
 use std::time;
 
-use persimmontack::decide::{lease, membership};
-use persimmontack::model::vm_record;
+use persimmontack::decide::{lease, membership, ownership};
+use persimmontack::model::{upstream_spec, vm_record};
 
 fn record(number: usize) -> vm_record::VmRecord {
     let address = ([127, 0, 1, number as u8], 7_000).into();
@@ -219,3 +219,81 @@
     assert_eq!(holder(64, MOMENT), None);
     assert_eq!(holder(0, MOMENT + membership::DEAD_AFTER), None);
 }
+
+fn owners(upstreams: &[upstream_spec::UpstreamSpec], vms: &[vm_record::VmRecord]) -> Vec<String> {
+    upstreams
+        .iter()
+        .map(|upstream| {
+            let ranked = ownership::rank_owners(upstream, vms);
+            ranked.first().map(|vm| vm.vm.clone()).unwrap_or_default()
+        })
+        .collect()
+}
+
+/// Guards against ownership that moves further than a change of members makes it: a VM that dies,
+/// is missing in a list that lags, flaps or joins moves only upstreams that it owns before or
+/// after, and a set of VMs has the same owners whatever came before it.
+#[test]
+fn ownership_moves_only_as_far_as_the_members_change() {
+    arbtest::arbtest(|u| {
+        let count = u.int_in_range(2..=8)?;
+        let upstreams: Vec<_> = (0..24)
+            .map(|number| upstream_spec::UpstreamSpec {
+                upstream: format!("upstream-{number}"),
+                data_centre: format!("dc-{}", number % 3),
+                address: ([127, 0, 0, 1], 5_432).into(),
+                slots: 3,
+                connections: 20,
+                leaving: false,
+            })
+            .collect();
+        let mut table = membership::MemberTable::new("vm-0".to_owned());
+        let mut now = time::Duration::ZERO;
+        let mut heartbeat = 1;
+        table.take_list(records(count), now);
+        for number in 0..count {
+            table.take_pulse(pulse(number, 1, heartbeat), now);
+        }
+        let mut before = table.live_vms(now);
+        let mut seen = collections::BTreeMap::new();
+        for _ in 0..u.int_in_range(1..=20)? {
+            heartbeat += 1;
+            now += time::Duration::from_millis(400);
+            // Whoever is not heard for three steps is dead.
+            for number in (0..count).filter(|_| u.ratio(1, 2).unwrap_or(true)) {
+                table.take_pulse(pulse(number, 1, heartbeat), now);
+            }
+            let listed = (0..count).filter(|_| u.ratio(3, 4).unwrap_or(true));
+            table.take_list(listed.map(record).collect(), now);
+            let after = table.live_vms(now);
+            let name = |vms: &[vm_record::VmRecord]| {
+                vms.iter()
+                    .map(|vm| vm.vm.clone())
+                    .collect::<collections::BTreeSet<_>>()
+            };
+            let (old, new) = (name(&before), name(&after));
+            let changed: collections::BTreeSet<_> = old.symmetric_difference(&new).collect();
+            let moves = owners(&upstreams, &before)
+                .into_iter()
+                .zip(owners(&upstreams, &after));
+            for (index, (from, to)) in moves.enumerate() {
+                assert!(new.contains(&to), "{to} owns an upstream and is dead");
+                let near = after
+                    .iter()
+                    .any(|vm| vm.data_centre == upstreams[index].data_centre);
+                let owner = after.iter().find(|vm| vm.vm == to).expect("live");
+                assert!(!near || owner.data_centre == upstreams[index].data_centre);
+                assert!(
+                    from == to || changed.contains(&from) || changed.contains(&to),
+                    "an upstream moved from {from} to {to} when {changed:?} changed"
+                );
+            }
+            let first = seen
+                .entry(new)
+                .or_insert_with(|| owners(&upstreams, &after));
+            assert_eq!(*first, owners(&upstreams, &after));
+            before = after;
+        }
+        Ok(())
+    });
+}
--- a/tests/testenv/src/platform_calls.rs
+++ b/tests/testenv/src/platform_calls.rs
@@ -95,7 +95,16 @@
                 })
             })
             .collect::<io::Result<Vec<_>>>()?;
-        self.admin("/admin/vms", &serde_json::to_string(&vms)?)
+        self.post_vm_records(&vms).await
+    }
+
+    /// Posts a VM list of the test's own, such as one that lags.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the platform does not answer.
+    pub async fn post_vm_records(&self, records: &[vm_record::VmRecord]) -> io::Result<()> {
+        self.admin("/admin/vms", &serde_json::to_string(records)?)
             .await
     }
 
