--- a/src/ctl/rule_store.rs
+++ b/src/ctl/rule_store.rs
@@ -15,8 +15,6 @@
 const READ_ATTEMPTS: u32 = 3;
 /// Pause between two attempts.
 const RETRY_PAUSE: time::Duration = time::Duration::from_millis(100);
-/// Revisions whose keys share all digits but the last two, and so are listed by one call.
-const LIST_REVISIONS: u64 = 100;
 /// Largest value that the store takes, in bytes.
 const MAX_VALUE_BYTES: usize = 1_000_000;
 
@@ -61,7 +59,7 @@
         }
         loop {
             let first = log.current().revision + 1;
-            let hundred = first / LIST_REVISIONS;
+            let hundred = first / rule_log::BLOCK_REVISIONS;
             let changes = self.changes_of_hundred(hundred).await?;
             match log.take(rule_log::RuleUpdate::Changes(changes)) {
                 rule_log::TakeOutcome::Known | rule_log::TakeOutcome::Taken => {}
@@ -72,7 +70,7 @@
                 rule_log::TakeOutcome::Broken(error) => return Err(damaged(&error.to_string())),
             }
             // The log goes on only if it fills this listing to its end.
-            if (log.current().revision + 1) / LIST_REVISIONS == hundred {
+            if (log.current().revision + 1) / rule_log::BLOCK_REVISIONS == hundred {
                 return Ok(log.current().clone());
             }
         }
@@ -85,7 +83,7 @@
         last: ids::RuleRevision,
     ) -> Result<Vec<rule_log::RuleChange>, ctl_error::CtlError> {
         let mut changes = Vec::new();
-        for hundred in first / LIST_REVISIONS..=last / LIST_REVISIONS {
+        for hundred in first / rule_log::BLOCK_REVISIONS..=last / rule_log::BLOCK_REVISIONS {
             changes.extend(self.changes_of_hundred(hundred).await?);
         }
         changes.retain(|change| (first..=last).contains(&change.revision));
@@ -96,8 +94,7 @@
         &self,
         hundred: u64,
     ) -> Result<Vec<rule_log::RuleChange>, ctl_error::CtlError> {
-        let mut prefix = rule_log::log_key(hundred * LIST_REVISIONS);
-        prefix.truncate(prefix.len().saturating_sub(2));
+        let prefix = rule_log::block_prefix(hundred * rule_log::BLOCK_REVISIONS);
         let listing = read(|| self.platform.list(&prefix)).await?;
         listing.entries.iter().map(decode).collect()
     }
--- a/src/decide/rule_log.rs
+++ b/src/decide/rule_log.rs
@@ -10,6 +10,8 @@
 
 /// Changes between two snapshots in the store, and changes a node keeps for its peers.
 pub const SNAPSHOT_INTERVAL: u64 = 64;
+/// Revisions whose keys share all digits but the last two, and so have a common prefix.
+pub const BLOCK_REVISIONS: u64 = 100;
 /// Prefix of all keys of the rules.
 pub const RULES_PREFIX: &str = "rules/";
 /// Prefix of the changes.
@@ -81,6 +83,13 @@
     format!("{LOG_PREFIX}{revision:012}")
 }
 
+/// Returns the prefix of the keys of the block of [`BLOCK_REVISIONS`] revisions that holds
+/// `revision`, so that a listing or a watch returns a bounded part of the log.
+#[must_use]
+pub fn block_prefix(revision: ids::RuleRevision) -> String {
+    format!("{LOG_PREFIX}{:010}", revision / BLOCK_REVISIONS)
+}
+
 /// Returns the lines to remove from `old` and to add to make `new`.
 #[must_use]
 pub fn diff(old: &str, new: &str) -> (Vec<RuleLine>, Vec<RuleLine>) {
--- a/src/keeper/rules_watch.rs
+++ b/src/keeper/rules_watch.rs
@@ -7,6 +7,7 @@
 use crate::blackboard::control_board;
 use crate::decide::{ownership, rule_log};
 use crate::event;
+use crate::model::ids;
 use crate::platform::client;
 use crate::platform::{kv_entry, platform_error};
 
@@ -23,29 +24,24 @@
 
 /// Watches the store for good.
 pub async fn run(board: sync::Arc<control_board::ControlBoard>, platform: client::PlatformClient) {
-    let mut after = None;
+    let mut watch = RulesWatch {
+        board,
+        platform,
+        block: None,
+        stored: 0,
+    };
     let mut back_off = MIN_BACK_OFF;
     loop {
-        let listing = match after {
-            None => platform.list(rule_log::RULES_PREFIX).await,
-            Some(after) if watches(&board) => {
-                platform
-                    .watch(rule_log::RULES_PREFIX, after, WATCH_WAIT)
-                    .await
-            }
-            Some(_) => {
-                tokio::time::sleep(IDLE_PAUSE).await;
-                continue;
-            }
-        };
-        match listing {
-            Ok(listing) => {
-                back_off = MIN_BACK_OFF;
-                after = Some(listing.revision);
-                take_listing(&board, &listing);
-                if let Err(error) = write_snapshot(&board, &platform, &listing).await {
-                    event::warn("rules_snapshot_failed", &[("cause", &error)]);
-                }
+        if watch.block.is_some() && !watches(&watch.board) {
+            tokio::time::sleep(IDLE_PAUSE).await;
+            continue;
+        }
+        match watch.turn().await {
+            Ok(true) => back_off = MIN_BACK_OFF,
+            Ok(false) => {
+                // The log cannot be followed; the next turn starts from the snapshot.
+                watch.block = Some((String::new(), 0));
+                tokio::time::sleep(MAX_BACK_OFF).await;
             }
             Err(error) => {
                 event::debug("rules_watch_failed", &[("cause", &error)]);
@@ -57,6 +53,96 @@
     }
 }
 
+/// The place up to which the store is known. Only the block of the log with the next revision is
+/// watched: the whole log has 17,000 changes a day at the full size, and every watch returned it.
+struct RulesWatch {
+    board: sync::Arc<control_board::ControlBoard>,
+    platform: client::PlatformClient,
+    /// Prefix of the watched block, and the store's revision at its last listing.
+    block: Option<(String, u64)>,
+    /// Revision of the snapshot in the store, as far as it is known.
+    stored: ids::RuleRevision,
+}
+
+impl RulesWatch {
+    /// Waits for changes and takes them. Returns whether the log could be followed.
+    async fn turn(&mut self) -> Result<bool, platform_error::PlatformError> {
+        let prefix = self.next_prefix();
+        let (prefix, listing) = match &self.block {
+            Some((watched, after)) if *watched == prefix => {
+                let listing = self.platform.watch(&prefix, *after, WATCH_WAIT).await?;
+                (prefix, listing)
+            }
+            _ => {
+                // A node that is far behind skips the blocks below the snapshot.
+                self.take_snapshot().await?;
+                let prefix = self.next_prefix();
+                let listing = self.platform.list(&prefix).await?;
+                (prefix, listing)
+            }
+        };
+        self.block = Some((prefix, listing.revision));
+        let followed = take_changes(&self.board, &listing);
+        if let Err(error) = self.write_snapshot().await {
+            event::warn("rules_snapshot_failed", &[("cause", &error)]);
+        }
+        Ok(followed)
+    }
+
+    fn next_prefix(&self) -> String {
+        rule_log::block_prefix(self.board.rules().current().revision + 1)
+    }
+
+    async fn read_snapshot(
+        &mut self,
+    ) -> Result<(u64, Option<rule_log::RuleSnapshot>), platform_error::PlatformError> {
+        let entry = self.platform.get(rule_log::SNAPSHOT_KEY).await?;
+        let snapshot = entry.as_ref().and_then(decode::<rule_log::RuleSnapshot>);
+        self.stored = snapshot.as_ref().map_or(0, |snapshot| snapshot.revision);
+        Ok((entry.map_or(0, |entry| entry.revision), snapshot))
+    }
+
+    async fn take_snapshot(&mut self) -> Result<(), platform_error::PlatformError> {
+        let (_, Some(snapshot)) = self.read_snapshot().await? else {
+            return Ok(());
+        };
+        let revision = snapshot.revision;
+        let outcome = self
+            .board
+            .rules()
+            .take(rule_log::RuleUpdate::Snapshot(snapshot));
+        if outcome == rule_log::TakeOutcome::Taken {
+            report_revision(&self.board, revision);
+        }
+        Ok(())
+    }
+
+    /// Rewrites the snapshot when it has fallen behind. The expected revision lets one keeper win.
+    async fn write_snapshot(&mut self) -> Result<(), platform_error::PlatformError> {
+        let current = self.board.rules().current().clone();
+        if current.revision < self.stored + rule_log::SNAPSHOT_INTERVAL {
+            return Ok(());
+        }
+        let (expected, _) = self.read_snapshot().await?;
+        if current.revision < self.stored + rule_log::SNAPSHOT_INTERVAL {
+            return Ok(());
+        }
+        let body = kv_entry::PutBody {
+            value: serde_json::to_string(&current).unwrap_or_default(),
+            expected: Some(expected),
+            lease: None,
+        };
+        match self.platform.put(rule_log::SNAPSHOT_KEY, &body).await {
+            Ok(_) => {
+                self.stored = current.revision;
+                Ok(())
+            }
+            Err(platform_error::PlatformError::Conflict { .. }) => Ok(()),
+            Err(error) => Err(error),
+        }
+    }
+}
+
 /// Tells whether this keeper is one of those that watch for its data centre.
 fn watches(board: &control_board::ControlBoard) -> bool {
     let vms = board.members().live_vms(board.now());
@@ -79,70 +165,44 @@
         .ok()
 }
 
-fn take_listing(board: &control_board::ControlBoard, listing: &kv_entry::KvListing) {
+/// Takes the changes of a block. Returns false if they do not continue the text in force.
+fn take_changes(board: &control_board::ControlBoard, listing: &kv_entry::KvListing) -> bool {
     let known = board.rules().current().revision;
-    let mut snapshot: Option<rule_log::RuleSnapshot> = None;
-    let mut changes = Vec::new();
-    for entry in &listing.entries {
-        if entry.key == rule_log::SNAPSHOT_KEY {
-            snapshot = decode(entry);
-        } else if let Some(revision) = entry.key.strip_prefix(rule_log::LOG_PREFIX)
-            && revision
-                .parse::<u64>()
-                .is_ok_and(|revision| revision > known)
-            && let Some(change) = decode::<rule_log::RuleChange>(entry)
-        {
-            changes.push(change);
-        }
-    }
-    let mut rules = board.rules();
-    let mut outcome = rules.take(rule_log::RuleUpdate::Changes(changes.clone()));
-    if matches!(
-        outcome,
-        rule_log::TakeOutcome::Missing | rule_log::TakeOutcome::Broken(_)
-    ) && let Some(snapshot) = snapshot
-    {
-        rules.take(rule_log::RuleUpdate::Snapshot(snapshot));
-        outcome = rules.take(rule_log::RuleUpdate::Changes(changes));
-    }
-    let revision = rules.current().revision;
-    drop(rules);
-    if let rule_log::TakeOutcome::Broken(error) = outcome {
-        event::error("rules_broken", &[("cause", &error)]);
-    }
-    if revision > known {
-        event::info(
-            "rules_in_force",
-            &[("revision", &revision), ("from", &"store")],
-        );
-        board.publish();
-    }
-}
-
-/// Rewrites the snapshot when it has fallen behind. The expected revision lets one keeper win.
-async fn write_snapshot(
-    board: &control_board::ControlBoard,
-    platform: &client::PlatformClient,
-    listing: &kv_entry::KvListing,
-) -> Result<(), platform_error::PlatformError> {
-    let entry = listing
+    let changes = listing
         .entries
         .iter()
-        .find(|entry| entry.key == rule_log::SNAPSHOT_KEY);
-    let stored = entry
-        .and_then(decode::<rule_log::RuleSnapshot>)
-        .map_or(0, |snapshot| snapshot.revision);
-    let current = board.rules().current().clone();
-    if current.revision < stored + rule_log::SNAPSHOT_INTERVAL {
-        return Ok(());
-    }
-    let body = kv_entry::PutBody {
-        value: serde_json::to_string(&current).unwrap_or_default(),
-        expected: Some(entry.map_or(0, |entry| entry.revision)),
-        lease: None,
+        .filter(|entry| {
+            let revision = entry.key.strip_prefix(rule_log::LOG_PREFIX);
+            let revision = revision.and_then(|revision| revision.parse::<u64>().ok());
+            revision.is_some_and(|revision| revision > known)
+        })
+        .filter_map(decode::<rule_log::RuleChange>)
+        .collect();
+    let (outcome, revision) = {
+        let mut rules = board.rules();
+        let outcome = rules.take(rule_log::RuleUpdate::Changes(changes));
+        (outcome, rules.current().revision)
     };
-    match platform.put(rule_log::SNAPSHOT_KEY, &body).await {
-        Ok(_) | Err(platform_error::PlatformError::Conflict { .. }) => Ok(()),
-        Err(error) => Err(error),
+    if revision > known {
+        report_revision(board, revision);
     }
+    match outcome {
+        rule_log::TakeOutcome::Taken | rule_log::TakeOutcome::Known => true,
+        rule_log::TakeOutcome::Missing => {
+            event::error("rules_missing", &[("revision", &(revision + 1))]);
+            false
+        }
+        rule_log::TakeOutcome::Broken(error) => {
+            event::error("rules_broken", &[("cause", &error)]);
+            false
+        }
+    }
+}
+
+fn report_revision(board: &control_board::ControlBoard, revision: ids::RuleRevision) {
+    event::info(
+        "rules_in_force",
+        &[("revision", &revision), ("from", &"store")],
+    );
+    board.publish();
 }
--- a/tests/rule_log.rs
+++ b/tests/rule_log.rs
@@ -100,3 +100,21 @@
         Ok(())
     });
 }
+
+/// Guards against a listing or a watch of a block that misses a revision of the block or takes in
+/// others, and so grows with the log.
+#[test]
+fn a_block_prefix_covers_its_hundred_revisions_and_no_other() {
+    for revision in [1, 99, 100, 199, 17_000, 999_999_999_999] {
+        let prefix = rule_log::block_prefix(revision);
+        let first = revision - revision % rule_log::BLOCK_REVISIONS;
+        let last = first + rule_log::BLOCK_REVISIONS - 1;
+        for inside in [first, revision, last] {
+            assert!(rule_log::log_key(inside).starts_with(&prefix), "{inside}");
+        }
+        assert!(!rule_log::log_key(last + 1).starts_with(&prefix));
+        if let Some(before) = first.checked_sub(1) {
+            assert!(!rule_log::log_key(before).starts_with(&prefix));
+        }
+    }
+}
