Send heartbeats by key in gossip, and count its bytes

Every exchange carried all pulses whole, both ways, with 4 calls a round. Frames no longer compare all tables; the round does.

--- a/src/keeper/gossip_task.rs
+++ b/src/keeper/gossip_task.rs
@@ -15,19 +15,9 @@
 use crate::link::{client, frame_reader, frame_writer, hello, link_error, server, stream_kind};
 use crate::model::{ids, vm_record};
 
-/// Time between two rounds. A keeper calls at most 4 peers a round and is called by as many on
-/// average, with frames of about 30 bytes a VM, two in each
-/// exchange: 10 KB/s sent at 8 VMs, 4 KB/s at 4.
-const TICK_INTERVAL: time::Duration = time::Duration::from_millis(200);
-/// Peers of the own data centre called in a round.
-const LOCAL_PEERS: usize = 3;
-/// Peers of other data centres called in a round.
-const REMOTE_PEERS: usize = 1;
 /// Peers called at once when the rules change or the keeper leaves. Each of them does the same, so
 /// that a change reaches all of 3,000 keepers within four steps.
 const PUSH_PEERS: usize = 8;
-/// Signs of life in one frame. It bounds a frame at about 1.2 KB as the deployment grows.
-const MAX_PULSES: usize = 48;
 /// Time within which an exchange has to end; longer ones would overlap the next rounds.
 const EXCHANGE_TIMEOUT: time::Duration = time::Duration::from_millis(400);
 
@@ -85,7 +75,7 @@
 
     /// Gossips for good: at each tick, and at once when the rules change.
     pub async fn run(self) {
-        let mut ticks = tokio::time::interval(TICK_INTERVAL);
+        let mut ticks = tokio::time::interval(membership::TICK_INTERVAL);
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         let mut tables = self.board.follow();
         let mut pushed = 0;
@@ -94,7 +84,7 @@
                 _ = ticks.tick() => {
                     self.beat();
                     self.board.publish();
-                    self.choose_peers(LOCAL_PEERS, REMOTE_PEERS)
+                    self.choose_peers(membership::LOCAL_PEERS, membership::REMOTE_PEERS)
                 }
                 changed = tables.changed() => {
                     let revision = tables.borrow_and_update().rules_revision;
@@ -191,31 +181,40 @@
 
     async fn exchange(&self, address: net::SocketAddr) -> Result<(), link_error::LinkError> {
         let known = lock(&self.links).get(&address).cloned();
-        let link = match known.filter(client::PeerClient::is_open) {
-            Some(link) => link,
+        let (link, first) = match known.filter(client::PeerClient::is_open) {
+            Some(link) => (link, self.digest()),
             None => {
                 let link = client::PeerClient::connect(&self.dialer, address, &self.hello).await?;
                 lock(&self.links).insert(address, link.clone());
-                link
+                (link, self.full_digest())
             }
         };
         let (mut writer, mut reader) = link.open(stream_kind::StreamKind::Gossip).await?;
-        writer.send(&self.digest()).await?;
+        writer.send(&first).await?;
         let answer: gossip::GossipFrame = reader.expect().await?;
         let (revision, wants) = (answer.rules_revision, answer.wants_tables);
-        self.take(answer);
+        let wanted = answer.lacks.clone();
+        let lacks = self.take(answer);
         let rules = self.board.rules().update_for(revision);
-        if rules.is_some() || wants {
-            let tables = wants.then(|| self.tables());
+        if rules.is_some() || wants || !lacks.is_empty() || !wanted.is_empty() {
+            // Bound first, as `tables` locks the members again.
+            let pulses = self.board.members().pulses_of(&wanted);
             let frame = gossip::GossipFrame {
+                pulses,
+                lacks,
+                tables: wants.then(|| self.tables()),
                 rules,
-                tables,
-                ..self.digest()
+                ..gossip::GossipFrame::default()
             };
             writer.send_last(&frame).await?;
         } else {
             writer.finish()?;
         }
+        count_exchange("call", &writer);
+        // Read to its end, as dropping the stream earlier would reset it.
+        while let Some(more) = reader.next().await? {
+            self.take(more);
+        }
         Ok(())
     }
 
@@ -243,33 +242,65 @@
     ) -> Result<(), link_error::LinkError> {
         let asked: gossip::GossipFrame = reader.expect().await?;
         let (revision, wants) = (asked.rules_revision, asked.wants_tables);
-        self.take(asked);
+        let mut known = asked.beats.clone();
+        known.extend(asked.pulses.iter().map(|pulse| membership::MemberBeat {
+            key: pulse.key(),
+            heartbeat: pulse.heartbeat,
+        }));
+        let lacks = self.take(asked);
         // Bound first: the guard would live until the end of the statement below, which locks the
         // rules again.
         let rules = self.board.rules().update_for(revision);
         let tables = wants.then(|| self.tables());
         let frame = gossip::GossipFrame {
+            lacks,
             rules,
             tables,
-            ..self.digest()
+            ..self.digest_beyond(&known)
         };
-        writer.send_last(&frame).await?;
+        writer.send(&frame).await?;
         if let Some(more) = reader.next::<gossip::GossipFrame>().await? {
+            let wanted = more.lacks.clone();
             self.take(more);
+            if !wanted.is_empty() {
+                let frame = gossip::GossipFrame {
+                    pulses: self.board.members().pulses_of(&wanted),
+                    ..gossip::GossipFrame::default()
+                };
+                writer.send_last(&frame).await?;
+                count_exchange("answer", writer);
+                return Ok(());
+            }
         }
+        writer.finish()?;
+        count_exchange("answer", writer);
         Ok(())
     }
 
     fn digest(&self) -> gossip::GossipFrame {
+        self.digest_beyond(&[])
+    }
+
+    fn digest_beyond(&self, known: &[membership::MemberBeat]) -> gossip::GossipFrame {
         let rules_revision = self.board.rules().current().revision;
         let lacks_groups = self.board.groups().is_empty();
+        let now = self.board.now();
         let members = self.board.members();
         gossip::GossipFrame {
-            pulses: members.pulses(MAX_PULSES),
+            beats: members.beats_beyond(known, membership::MAX_BEATS, now),
             rules_revision,
             wants_tables: lacks_groups || members.lacks_records(),
-            tables: None,
-            rules: None,
+            ..gossip::GossipFrame::default()
+        }
+    }
+
+    /// Returns a digest with whole pulses, for a peer that may know none of them.
+    fn full_digest(&self) -> gossip::GossipFrame {
+        let pulses = self.board.members().pulses(membership::MAX_BEATS);
+        gossip::GossipFrame {
+            beats: Vec::new(),
+            pulses,
+            ..self.digest()
         }
     }
 
@@ -280,8 +311,12 @@
         }
     }
 
-    fn take(&self, frame: gossip::GossipFrame) {
+    /// Takes a frame and returns the keys of the heartbeats whose whole pulse is not known.
+    fn take(&self, frame: gossip::GossipFrame) -> Vec<membership::PulseKey> {
         let now = self.board.now();
+        // Heartbeats change the tables only with time, which the next round looks at. Comparing all
+        // tables at each frame would cost more than all the rest.
+        let mut changed = frame.tables.is_some();
         if let Some(tables) = frame.tables {
             self.board.members().take_records(tables.vms);
             let mut groups = self.board.groups();
@@ -292,15 +327,22 @@
         let mut members = self.board.members();
         for pulse in frame.pulses {
             if pulse.vm != self.board.own() {
-                members.take_pulse(pulse, now);
+                changed |= members.take_pulse(pulse, now);
             }
         }
+        let lacks = frame
+            .beats
+            .into_iter()
+            .filter(|beat| !members.take_beat(*beat, now))
+            .map(|beat| beat.key)
+            .collect();
         drop(members);
         if let Some(update) = frame.rules {
             let (outcome, revision) = {
                 let mut rules = self.board.rules();
                 (rules.take(update), rules.current().revision)
             };
+            changed = true;
             match outcome {
                 rule_log::TakeOutcome::Taken => event::info(
                     "rules_in_force",
@@ -312,10 +354,20 @@
                 rule_log::TakeOutcome::Known | rule_log::TakeOutcome::Missing => {}
             }
         }
-        self.board.publish();
+        if changed {
+            self.board.publish();
+        }
+        lacks
     }
 }
 
+/// Counts an exchange and the bytes of the frames that this side sent in it.
+fn count_exchange(side: &'static str, writer: &frame_writer::FrameWriter) {
+    metrics::counter!("persimmontack_gossip_exchanges_total", "side" => side).increment(1);
+    metrics::counter!("persimmontack_gossip_bytes_total", "side" => side)
+        .increment(writer.sent_bytes());
+}
+
 fn lock<T>(mutex: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(sync::PoisonError::into_inner)
 }
--- a/src/link/client.rs
+++ b/src/link/client.rs
@@ -6,6 +6,7 @@
 use std::time;
 
 use crate::dial;
+use crate::link::counted_stream;
 use crate::link::frame_reader;
 use crate::link::frame_writer;
 use crate::link::hello;
@@ -60,7 +61,7 @@
             .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
             .initial_max_send_streams(MAX_STREAMS as usize)
             .max_concurrent_reset_streams(1024)
-            .handshake::<_, bytes::Bytes>(socket)
+            .handshake::<_, bytes::Bytes>(counted_stream::CountedStream::new(socket))
             .await
             .map_err(|error| connect_error(error.to_string()))?;
         let open = sync::Arc::new(atomic::AtomicBool::new(true));
--- a/src/link/frame_writer.rs
+++ b/src/link/frame_writer.rs
@@ -13,6 +13,7 @@
 pub struct FrameWriter {
     stream: h2::SendStream<bytes::Bytes>,
     peer: String,
+    sent: u64,
 }
 
 impl FrameWriter {
@@ -20,9 +21,16 @@
         Self {
             stream,
             peer: peer.to_owned(),
+            sent: 0,
         }
     }
 
+    /// Returns the bytes of all frames sent, with their length prefixes.
+    #[must_use]
+    pub const fn sent_bytes(&self) -> u64 {
+        self.sent
+    }
+
     /// Sends one frame. Waits while the peer's window is full.
     ///
     /// # Errors
@@ -94,6 +102,7 @@
             let granted = self.reserve(frame.len()).await?;
             let part = frame.split_to(granted.min(frame.len()));
             let end = last && frame.is_empty();
+            self.sent += part.len() as u64;
             self.stream.send_data(part, end).map_err(|error| {
                 link_error::LinkError::new(link_error::LinkStep::Send, &self.peer, error)
             })?;
--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -5,6 +5,7 @@
 pub mod batch_request;
 pub mod client;
 pub mod control;
+mod counted_stream;
 pub mod feed_update;
 pub mod frame_reader;
 pub mod frame_writer;
--- a/src/link/server.rs
+++ b/src/link/server.rs
@@ -5,6 +5,7 @@
 
 use crate::event;
 use crate::link::client;
+use crate::link::counted_stream;
 use crate::link::frame_reader;
 use crate::link::frame_writer;
 use crate::link::hello;
@@ -86,7 +87,7 @@
         .initial_connection_window_size(client::CONNECTION_WINDOW_BYTES)
         .max_concurrent_streams(client::MAX_STREAMS)
         .max_concurrent_reset_streams(1024)
-        .handshake::<_, bytes::Bytes>(socket)
+        .handshake::<_, bytes::Bytes>(counted_stream::CountedStream::new(socket))
         .await
         .map_err(|error| link_error(&error))?;
     let mut greeting = None;
