Connect an entry only to pools it needs, and forward cancel requests

An entry opened 4 connections and a feed to every pool, 3,000 x 3,000 at the full size, and ranked all VMs for each statement. It now opens the first pool in rank for each upstream of the groups whose callers log in, the next one when that pool does not connect or cannot reach the upstream, and two pools for readiness.

A cancel request reached only the sessions of the entry that the balancer chose.

--- a/src/entry/board.rs
+++ b/src/entry/board.rs
@@ -2,6 +2,7 @@
 
 use std::collections;
 use std::sync;
+use std::sync::atomic;
 use std::time;
 
 use crate::decide::{barrier, routing};
@@ -21,15 +22,22 @@
 /// One group's upstreams. Readers take the views without a lock; feeds replace them whole.
 #[derive(Debug)]
 pub struct GroupBoard {
+    /// Name of the group.
     pub group: ids::GroupId,
+    /// Confirmed positions read of late.
     pub history: sync::Mutex<barrier::ConfirmedHistory>,
+    /// Reads confirmed positions for the sessions that wait.
     pub observer: observer::GroupObserver,
     views: arc_swap::ArcSwap<Vec<routing::UpstreamView>>,
     inner: sync::Mutex<BoardInner>,
     changed: tokio::sync::watch::Sender<u64>,
+    /// Time of the last use in milliseconds plus 1; 0 if there was none.
+    used: atomic::AtomicU64,
 }
 
 impl GroupBoard {
+    /// Creates the board of a group of which no state is known.
+    #[must_use]
     pub fn new(spec: &group_spec::GroupSpec, rules: &rule_set::RuleSet) -> Self {
         let board = Self {
             group: spec.group.clone(),
@@ -43,6 +51,7 @@
                 sources: collections::HashMap::new(),
             }),
             changed: tokio::sync::watch::Sender::new(0),
+            used: atomic::AtomicU64::new(0),
         };
         board.set_spec(spec, rules);
         board
@@ -53,11 +62,24 @@
         self.views.load_full()
     }
 
+    /// Notes that a session of the group needs its upstreams.
+    pub fn note_use(&self, now: time::Duration) {
+        let now = u64::try_from(now.as_millis()).unwrap_or(u64::MAX - 1);
+        self.used.store(now + 1, atomic::Ordering::Relaxed);
+    }
+
+    /// Tells whether the group was used within `keep`.
+    pub fn is_used(&self, now: time::Duration, keep: time::Duration) -> bool {
+        let used = self.used.load(atomic::Ordering::Relaxed);
+        used > 0 && now <= time::Duration::from_millis(used) + keep
+    }
+
     /// Subscribes to changes of the views.
     pub fn subscribe(&self) -> tokio::sync::watch::Receiver<u64> {
         self.changed.subscribe()
     }
 
+    /// Replaces what the platform and the rules say about the group.
     pub fn set_spec(&self, spec: &group_spec::GroupSpec, rules: &rule_set::RuleSet) {
         self.change(|inner| {
             inner.spec = spec.clone();
@@ -70,6 +92,7 @@
         });
     }
 
+    /// Merges what the pool of `vm` reports about an upstream.
     pub fn apply(&self, vm: &str, report: &feed_update::UpstreamReport) {
         self.change(|inner| {
             let upstream = &report.state.upstream;
@@ -86,6 +109,7 @@
         self.change(|inner| Self::merge(inner, state));
     }
 
+    /// Forgets whether the pool of `vm` reaches the upstreams; states stay.
     pub fn forget_pool(&self, vm: &str) {
         self.change(|inner| inner.sources.retain(|(_, source), _| source != vm));
     }
--- a/src/entry/cancel_registry.rs
+++ b/src/entry/cancel_registry.rs
@@ -3,6 +3,12 @@
 use std::collections;
 use std::sync;
 
+use xxhash_rust::xxh3;
+
+/// Low bits of the process id that are random. The 16 bits above them are a hash of the VM; with
+/// 3,000 VMs a cancel request reaches 1.05 VMs on average.
+const RANDOM_BITS: u32 = 15;
+
 /// Identifies a session to a cancel request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct CancelKey {
@@ -10,6 +16,17 @@
     pub secret: i32,
 }
 
+impl CancelKey {
+    /// Tells whether the key may be that of a session on the entry of `vm`.
+    pub fn names_vm(self, vm: &str) -> bool {
+        self.process >> RANDOM_BITS == vm_bits(vm)
+    }
+}
+
+fn vm_bits(vm: &str) -> i32 {
+    i32::from((xxh3::xxh3_64(vm.as_bytes()) as u16).cast_signed()) & 0xffff
+}
+
 /// The sessions by their keys.
 #[derive(Debug, Default)]
 pub struct CancelRegistry {
@@ -17,10 +34,11 @@
 }
 
 impl CancelRegistry {
-    /// Registers a session under a new random key.
-    pub fn register(&self) -> (CancelKey, sync::Arc<tokio::sync::Notify>) {
+    /// Registers a session of the entry on `vm` under a new key, which names the VM.
+    pub fn register(&self, vm: &str) -> (CancelKey, sync::Arc<tokio::sync::Notify>) {
+        let random = rand::random::<i32>() & ((1 << RANDOM_BITS) - 1);
         let key = CancelKey {
-            process: rand::random::<i32>() & i32::MAX,
+            process: vm_bits(vm) << RANDOM_BITS | random,
             secret: rand::random(),
         };
         let notify = sync::Arc::new(tokio::sync::Notify::new());
--- a/src/entry/explain.rs
+++ b/src/entry/explain.rs
@@ -3,7 +3,7 @@
 use std::sync;
 
 use crate::decide::routing;
-use crate::entry::context;
+use crate::entry::{board, cancel_registry, context};
 use crate::link::{control, server, stream_kind, work_request};
 
 /// Serves one stream of a peer.
@@ -14,7 +14,12 @@
     }
     while let Ok(Some(request)) = stream.reader.next::<control::ControlRequest>().await {
         let reply = match request {
-            control::ControlRequest::Explain(request) => explain(&context, &request),
+            control::ControlRequest::Explain(request) => explain(&context, &request).await,
+            control::ControlRequest::Cancel { process, secret } => {
+                let key = cancel_registry::CancelKey { process, secret };
+                context.cancels.cancel(key);
+                control::ControlReply::Done(String::new())
+            }
             _ => control::ControlReply::Failed(
                 "an entry answers explain only; ask a keeper".to_owned(),
             ),
@@ -27,8 +32,27 @@
     let _finished = stream.writer.finish();
 }
 
-fn explain(
-    context: &context::EntryContext,
+/// Opens the pools of a group that no caller uses, and waits a while for what they report.
+async fn fetch_views(
+    context: &sync::Arc<context::EntryContext>,
+    board: &board::GroupBoard,
+) -> sync::Arc<Vec<routing::UpstreamView>> {
+    let mut changes = board.subscribe();
+    context.use_group(board);
+    let known = async {
+        while board.views().iter().any(|view| view.state.is_none()) {
+            if changes.changed().await.is_err() {
+                return;
+            }
+        }
+    };
+    // What has not arrived in time is shown as unknown.
+    drop(tokio::time::timeout(context.settings.limits.observe, known).await);
+    board.views()
+}
+
+async fn explain(
+    context: &sync::Arc<context::EntryContext>,
     request: &control::ExplainRequest,
 ) -> control::ControlReply {
     let tables = context.tables();
@@ -45,7 +69,7 @@
         ));
     };
     let class = context.classes.classify(&request.sql);
-    let views = board.views();
+    let views = fetch_views(context, board).await;
     let access = class.access();
     let mut steps = vec![format!("The statement is classified as a {access}.")];
     let choice = if access == work_request::WorkAccess::Write {
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -176,7 +176,8 @@
         let hold = access == work_request::WorkAccess::Write && batch.executes;
         let work = work_frame::WorkFrame::Batch(self.request(batch, request, deadline, hold));
         let mut opened = None;
-        for pool in self.context.owners(&view.spec).into_iter().take(2) {
+        let owners = self.context.open_owners(&view.spec).await;
+        for pool in owners.into_iter().take(2) {
             let Ok((mut writer, reader)) = pool.open(stream_kind::StreamKind::Work).await else {
                 continue;
             };
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -2,7 +2,8 @@
 
 mod answer;
 mod batch;
-mod board;
+pub mod board;
+mod cancel_forward;
 mod cancel_registry;
 mod context;
 mod explain;
--- a/src/entry/observer.rs
+++ b/src/entry/observer.rs
@@ -89,7 +89,7 @@
 }
 
 async fn observe_group(
-    context: &context::EntryContext,
+    context: &sync::Arc<context::EntryContext>,
     board: &board::GroupBoard,
 ) -> Option<log_position::LogPosition> {
     let views = board.views();
@@ -117,11 +117,11 @@
 }
 
 async fn observe_upstream(
-    context: &context::EntryContext,
+    context: &sync::Arc<context::EntryContext>,
     spec: &upstream_spec::UpstreamSpec,
 ) -> Option<upstream_state::UpstreamState> {
     // The first owner may be cut off from the upstream while the next is not.
-    for pool in context.owners(spec).into_iter().take(2) {
+    for pool in context.open_owners(spec).await.into_iter().take(2) {
         let Ok((mut writer, mut reader)) = pool.open(stream_kind::StreamKind::Observe).await else {
             continue;
         };
--- a/src/entry/pool_link.rs
+++ b/src/entry/pool_link.rs
@@ -1,4 +1,4 @@
-//! [`PoolLink`]: the connections to one pool, and its feed.
+//! [`PoolLink`]: the connections to one pool, and its feed, while the entry needs them.
 
 use std::collections;
 use std::net;
@@ -15,6 +15,17 @@
 const RECONNECT_PAUSE: time::Duration = time::Duration::from_millis(100);
 /// Time between two looks at a connection that carries no feed.
 const CHECK_INTERVAL: time::Duration = time::Duration::from_millis(50);
+/// Time that a link has to connect before the next pool in rank is opened too. A connect takes two
+/// round trips; a pool that needs longer is as good as gone.
+const OPEN_GRACE: time::Duration = time::Duration::from_millis(250);
+
+/// When the link was opened and last needed. All times count from the start of the process.
+#[derive(Debug, Default)]
+struct LinkUse {
+    opened: Option<time::Duration>,
+    needed: time::Duration,
+    tasks: tokio::task::JoinSet<()>,
+}
 
 /// The connections to one pool.
 #[derive(Debug)]
@@ -25,46 +36,91 @@
     next: atomic::AtomicUsize,
     leaving: atomic::AtomicBool,
     reports: sync::Mutex<collections::HashMap<ids::UpstreamId, feed_update::UpstreamReport>>,
-    tasks: sync::Mutex<tokio::task::JoinSet<()>>,
+    usage: sync::Mutex<LinkUse>,
 }
 
 impl PoolLink {
-    /// Creates the link and starts to connect. The tasks end when the link is closed.
-    pub fn start(
-        context: &sync::Arc<context::EntryContext>,
-        vm: &str,
-        address: net::SocketAddr,
-    ) -> sync::Arc<Self> {
-        let count = context.settings.limits.pool_connections;
-        let link = sync::Arc::new(Self {
+    /// Creates a link that is closed until it is needed.
+    pub fn new(connections: usize, vm: &str, address: net::SocketAddr) -> sync::Arc<Self> {
+        sync::Arc::new(Self {
             vm: vm.to_owned(),
             address,
-            clients: (0..count)
+            clients: (0..connections)
                 .map(|_| arc_swap::ArcSwapOption::empty())
                 .collect(),
             next: atomic::AtomicUsize::new(0),
             leaving: atomic::AtomicBool::new(false),
             reports: sync::Mutex::default(),
-            tasks: sync::Mutex::default(),
-        });
-        let mut tasks = link
-            .tasks
-            .lock()
-            .unwrap_or_else(sync::PoisonError::into_inner);
-        for number in 0..count {
-            tasks.spawn(sync::Arc::clone(&link).keep(sync::Arc::clone(context), number));
+            usage: sync::Mutex::default(),
+        })
+    }
+
+    /// Notes that the pool is needed and starts to connect unless that has been done.
+    pub fn need(self: &sync::Arc<Self>, context: &sync::Arc<context::EntryContext>) {
+        let mut usage = self.usage();
+        usage.needed = context.now();
+        if usage.opened.is_some() {
+            return;
+        }
+        usage.opened = Some(usage.needed);
+        for number in 0..self.clients.len() {
+            let keep = sync::Arc::clone(self).keep(sync::Arc::clone(context), number);
+            usage.tasks.spawn(keep);
         }
-        drop(tasks);
-        link
     }
 
-    /// Stops connecting and forgets the pool's reports.
+    /// Tells whether the link is open, or was opened so recently that it may still connect.
+    pub fn is_opening(&self, now: time::Duration) -> bool {
+        let opened = self.usage().opened;
+        opened.is_some_and(|opened| now < opened + OPEN_GRACE)
+    }
+
+    /// Closes the link if nothing needed it for `keep`.
+    pub fn close_unneeded(&self, context: &context::EntryContext, keep: time::Duration) {
+        let usage = self.usage();
+        if usage.opened.is_some() && context.now() > usage.needed + keep {
+            drop(usage);
+            self.close(context);
+        }
+    }
+
+    /// Stops connecting and forgets the pool's reports. Streams that are open stay so.
     pub fn close(&self, context: &context::EntryContext) {
-        self.tasks
+        let mut usage = self.usage();
+        usage.opened = None;
+        usage.tasks.abort_all();
+        usage.tasks.detach_all();
+        for slot in &self.clients {
+            slot.store(None);
+        }
+        self.reports().clear();
+        drop(usage);
+        context.forget_pool(&self.vm);
+    }
+
+    /// Tells whether work on the upstream may go there: the pool is connected and has not reported
+    /// that it cannot reach the upstream.
+    pub fn serves(&self, upstream: &str) -> bool {
+        self.is_usable()
+            && self
+                .reports()
+                .get(upstream)
+                .is_none_or(|report| report.reachable)
+    }
+
+    fn usage(&self) -> sync::MutexGuard<'_, LinkUse> {
+        self.usage
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
+    fn reports(
+        &self,
+    ) -> sync::MutexGuard<'_, collections::HashMap<ids::UpstreamId, feed_update::UpstreamReport>>
+    {
+        self.reports
             .lock()
             .unwrap_or_else(sync::PoisonError::into_inner)
-            .abort_all();
-        context.forget_pool(&self.vm);
     }
 
     /// Tells whether new units of work may go there.
@@ -88,13 +144,8 @@
     }
 
     /// Returns the pool's last report on each upstream.
-    pub fn reports(&self) -> Vec<feed_update::UpstreamReport> {
-        self.reports
-            .lock()
-            .unwrap_or_else(sync::PoisonError::into_inner)
-            .values()
-            .cloned()
-            .collect()
+    pub fn last_reports(&self) -> Vec<feed_update::UpstreamReport> {
+        self.reports().values().cloned().collect()
     }
 
     fn pick(&self) -> Option<sync::Arc<client::PeerClient>> {
@@ -115,16 +166,14 @@
             match client::PeerClient::connect(&context.dialer, self.address, &context.hello).await {
                 Ok(client) => {
                     slot.store(Some(sync::Arc::new(client.clone())));
+                    context.pool_opened.notify_waiters();
                     if number == 0 {
                         let ended = self.follow_feed(&context, &client).await;
                         let cause = ended
                             .err()
                             .map_or_else(|| "ended".to_owned(), |e| e.to_string());
                         event::warn("feed_ended", &[("pool", &self.vm), ("cause", &cause)]);
-                        self.reports
-                            .lock()
-                            .unwrap_or_else(sync::PoisonError::into_inner)
-                            .clear();
+                        self.reports().clear();
                         context.forget_pool(&self.vm);
                     } else {
                         while client.is_open() {
@@ -153,10 +202,7 @@
                 .store(update.leaving, atomic::Ordering::Release);
             for report in update.reports {
                 context.apply_report(&self.vm, &report);
-                self.reports
-                    .lock()
-                    .unwrap_or_else(sync::PoisonError::into_inner)
-                    .insert(report.state.upstream.clone(), report);
+                self.reports().insert(report.state.upstream.clone(), report);
             }
             context.note_feed();
         }
--- a/src/entry/program.rs
+++ b/src/entry/program.rs
@@ -90,6 +90,7 @@
     let control = sync::Arc::clone(&context);
     tokio::spawn(peers.run(move |stream| explain::serve(sync::Arc::clone(&control), stream)));
     tokio::spawn(tables_link::follow(sync::Arc::clone(&context)));
+    tokio::spawn(sync::Arc::clone(&context).keep_pools());
     let accepting = tokio::spawn(accept(sync::Arc::clone(&context), listen));
     event::info("started", &[("vm", &context.settings.vm)]);
 
--- a/src/entry/route.rs
+++ b/src/entry/route.rs
@@ -40,6 +40,7 @@
         mut cancelled: Cancelled<'_, '_>,
     ) -> Result<log_position::LogPosition, RouteFailure> {
         let board = sync::Arc::clone(&self.board);
+        board.note_use(self.context.now());
         let age = self.parameters.max_age.or_else(|| {
             let tables = self.context.tables();
             let rule = tables.rules.read_rule(&self.database, &batch.tables);
@@ -102,6 +103,7 @@
         mut cancelled: Cancelled<'_, '_>,
     ) -> Result<(routing::RouteChoice, routing::UpstreamView), RouteFailure> {
         let board = sync::Arc::clone(&self.board);
+        board.note_use(self.context.now());
         let mut changes = board.subscribe();
         let fallback_at = self.context.now() + self.context.settings.limits.replica_wait;
         loop {
--- a/src/entry/startup.rs
+++ b/src/entry/startup.rs
@@ -8,7 +8,7 @@
 use bytes::{Buf, BufMut};
 use pgwire::api::auth::sasl::scram;
 
-use crate::entry::{cancel_registry, context, local, session, wire};
+use crate::entry::{cancel_forward, cancel_registry, context, local, session, wire};
 use crate::model::{refusal_reason, sql_state};
 use crate::rules::scram_verifier;
 use crate::sql::parameters;
@@ -85,7 +85,7 @@
     };
     reader.set_limit(context.settings.limits.message_bytes);
     context.sessions.fetch_add(1, atomic::Ordering::AcqRel);
-    let (key, cancel) = context.cancels.register();
+    let (key, cancel) = context.cancels.register(&context.settings.vm);
     let mut session = session::CallerSession::new(&context, reader, writer, start, cancel);
     session.run(key).await;
     context.cancels.remove(key);
@@ -114,9 +114,8 @@
             CANCEL_REQUEST => {
                 let process = take_i32(&mut body)?;
                 let secret = take_i32(&mut body)?;
-                context
-                    .cancels
-                    .cancel(cancel_registry::CancelKey { process, secret });
+                let key = cancel_registry::CancelKey { process, secret };
+                cancel_forward::cancel(context, key).await;
                 return Ok(None);
             }
             _ if code >> 16 == PROTOCOL_MAJOR => break body,
@@ -162,6 +161,8 @@
         ));
     };
     let parameters = read_parameters(given)?;
+    // Connects to the pools while the caller still receives the answer to its login.
+    context.use_group(&board);
     Ok(Some(SessionStart {
         user,
         customer,
--- a/src/keeper/control_answers.rs
+++ b/src/keeper/control_answers.rs
@@ -46,7 +46,7 @@
             control::ControlRequest::Promote { group, upstream } => {
                 self.promote(group, upstream, from_keeper).await
             }
-            control::ControlRequest::Explain(_) => {
+            control::ControlRequest::Explain(_) | control::ControlRequest::Cancel { .. } => {
                 control::ControlReply::Failed("a keeper routes nothing; ask an entry".to_owned())
             }
         };
--- a/src/link/control.rs
+++ b/src/link/control.rs
@@ -22,7 +22,8 @@
     pub max_age: Option<time::Duration>,
 }
 
-/// An operator's request. `Explain` is answered by entries, the others by keepers.
+/// An operator's request, or another entry's. `Explain` and `Cancel` are answered by entries, the
+/// others by keepers.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ControlRequest {
     /// The whole state as this keeper sees it.
@@ -36,6 +37,14 @@
         /// The wanted primary.
         upstream: Option<ids::UpstreamId>,
     },
+    /// Cancels what the session with this key runs now, as the caller's cancel request asks. Entry
+    /// to entry; a wrong key does nothing.
+    Cancel {
+        /// Process id of the key.
+        process: i32,
+        /// Secret of the key.
+        secret: i32,
+    },
 }
 
 /// One upstream in a status report.
--- a/tests/entry.rs
+++ b/tests/entry.rs
@@ -2,6 +2,7 @@
 
 mod entry_support;
 
+use std::net;
 use std::process;
 use std::time;
 
@@ -328,3 +329,60 @@
         .expect("joined");
     assert_eq!(code.expect("status").code(), Some(0));
 }
+
+/// Plays a balancer: the first connection goes to one entry, all later ones to another.
+async fn start_balancer(first: net::SocketAddr, later: net::SocketAddr) -> net::SocketAddr {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("bind");
+    let address = listener.local_addr().expect("address");
+    tokio::spawn(async move {
+        let mut target = first;
+        while let Ok((mut caller, _)) = listener.accept().await {
+            let mut entry = tokio::net::TcpStream::connect(target).await.expect("entry");
+            target = later;
+            tokio::spawn(async move {
+                // Either side may close first.
+                let _ended = tokio::io::copy_bidirectional(&mut caller, &mut entry).await;
+            });
+        }
+    });
+    address
+}
+
+/// Guards against a cancel request that is lost because the balancer sends it to an entry that does
+/// not hold the session.
+#[tokio::test]
+async fn a_cancel_request_reaches_the_session_through_another_entry() {
+    let stage = entry_support::Stage::start().await;
+    let other = stage.add_entry().await;
+    let balancer = start_balancer(stage.entry.addresses["listen"], other.addresses["listen"]).await;
+    let client = entry_support::connect_to(balancer, "app", "orders", "")
+        .await
+        .expect("login");
+    let token = client.cancel_token();
+    // Far longer than the test may take, so that only the cancel ends it.
+    let sleep = client.simple_query("SELECT pg_sleep(600)");
+    tokio::pin!(sleep);
+    // The request may overtake the statement, as in PostgreSQL, so it is repeated.
+    let cancelled = async {
+        loop {
+            tokio::select! {
+                outcome = &mut sleep => return outcome,
+                () = tokio::time::sleep(time::Duration::from_millis(50)) => {}
+            }
+            token
+                .cancel_query(tokio_postgres::NoTls)
+                .await
+                .expect("cancel");
+        }
+    };
+    let error = tokio::time::timeout(entry_support::PATIENCE, cancelled)
+        .await
+        .expect("the statement ends")
+        .expect_err("it was cancelled");
+    let code = error.code().map(tokio_postgres::error::SqlState::code);
+    assert_eq!(code, Some("57014"), "{error}");
+    let row = client.query_one("SELECT 1", &[]).await;
+    assert!(row.is_ok(), "the session goes on: {row:?}");
+}
--- a/tests/entry_support/mod.rs
+++ b/tests/entry_support/mod.rs
@@ -77,7 +77,9 @@
 pub struct Stage {
     pub entry: Daemon,
     _pool: Daemon,
-    _directory: tempfile::TempDir,
+    directory: tempfile::TempDir,
+    keeper: net::SocketAddr,
+    tables: tokio::sync::watch::Sender<control_tables::ControlTables>,
     pub instances: Vec<net::SocketAddr>,
 }
 
@@ -146,7 +148,9 @@
         let stage = Self {
             entry,
             _pool: pool,
-            _directory: directory,
+            directory,
+            keeper,
+            tables,
             instances,
         };
         tokio::time::timeout(PATIENCE, stage.wait_ready())
@@ -155,21 +159,31 @@
         stage
     }
 
+    /// Starts an entry on a second VM, whose pool gets no work.
+    pub async fn add_entry(&self) -> Daemon {
+        let entry = Daemon::start(
+            env!("CARGO_BIN_EXE_persimmon-entry"),
+            self.directory.path(),
+            "entry-2.toml",
+            &format!(
+                "vm = \"vm-2\"\ndata_centre = \"dc-1\"\nlink = \"127.0.0.1:0\"\nhealth = \"127.0.0.1:0\"\nkeeper = \"{}\"\nlisten = \"127.0.0.1:0\"\n",
+                self.keeper
+            ),
+        );
+        self.tables.send_modify(|tables| {
+            let mut vm = tables.vms[0].clone();
+            vm.vm = "vm-2".into();
+            vm.leaving = true;
+            vm.entry = entry.addresses["link"];
+            tables.vms.push(vm);
+        });
+        let ready = wait_ready(entry.addresses["health"]);
+        tokio::time::timeout(PATIENCE, ready).await.expect("ready");
+        entry
+    }
+
     async fn wait_ready(&self) {
-        let address = self.entry.addresses["health"];
-        loop {
-            let mut socket = tokio::net::TcpStream::connect(address)
-                .await
-                .expect("health");
-            let request = b"GET /ready HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
-            socket.write_all(request).await.expect("request");
-            let mut answer = String::new();
-            socket.read_to_string(&mut answer).await.expect("answer");
-            if answer.starts_with("HTTP/1.1 200") {
-                return;
-            }
-            tokio::time::sleep(time::Duration::from_millis(5)).await;
-        }
+        wait_ready(self.entry.addresses["health"]).await;
     }
 
     pub async fn connect(
@@ -180,6 +194,22 @@
     }
 }
 
+async fn wait_ready(address: net::SocketAddr) {
+    loop {
+        let mut socket = tokio::net::TcpStream::connect(address)
+            .await
+            .expect("health");
+        let request = b"GET /ready HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
+        socket.write_all(request).await.expect("request");
+        let mut answer = String::new();
+        socket.read_to_string(&mut answer).await.expect("answer");
+        if answer.starts_with("HTTP/1.1 200") {
+            return;
+        }
+        tokio::time::sleep(time::Duration::from_millis(5)).await;
+    }
+}
+
 pub async fn connect_to(
     address: net::SocketAddr,
     user: &str,
