--- /dev/null
+++ b/load/src/bin/persimmon-slopes.rs
@@ -0,0 +1,10 @@
+//! Measures how the cost of control grows with the size of the deployment.
+
+#[path = "../slopes/mod.rs"]
+mod slopes;
+
+use std::process;
+
+fn main() -> process::ExitCode {
+    slopes::run()
+}
--- /dev/null
+++ b/load/src/slopes/mod.rs
@@ -0,0 +1,60 @@
+//! Slopes of control: the decision code and the tables driven at growing sizes, and real keepers.
+//! `docs/CAPACITY.md` works the costs at the full size out of them.
+
+mod cost;
+mod deployment;
+mod gossip_rounds;
+mod groups;
+mod keepers;
+mod members;
+mod options;
+mod row;
+mod rules;
+mod tables;
+
+use std::io::Write as _;
+use std::process;
+
+use gumdrop::Options as _;
+
+/// Runs the program.
+pub fn run() -> process::ExitCode {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let options = match options::SlopeOptions::parse_args_default(&arguments) {
+        Ok(options) => options,
+        Err(error) => {
+            eprintln!("persimmon-slopes: {error}; try --help");
+            return process::ExitCode::from(2);
+        }
+    };
+    if options.help {
+        println!("{}", options::SlopeOptions::usage());
+        return process::ExitCode::SUCCESS;
+    }
+    match measure(&options) {
+        Ok(()) => process::ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("persimmon-slopes: {error}");
+            process::ExitCode::FAILURE
+        }
+    }
+}
+
+fn measure(options: &options::SlopeOptions) -> std::io::Result<()> {
+    let mut report = row::Report::new();
+    if options.part != options::Part::Keepers {
+        members::measure(&mut report);
+        gossip_rounds::measure(&mut report);
+        groups::measure(&mut report);
+        rules::measure(&mut report);
+        tables::measure(&mut report);
+    }
+    if options.part != options::Part::Decisions {
+        tokio::runtime::Runtime::new()?.block_on(keepers::measure(&mut report, options))?;
+    }
+    if let Some(path) = &options.json {
+        let mut file = std::fs::File::create(path)?;
+        writeln!(file, "{}", serde_json::to_string_pretty(report.rows())?)?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/load/src/slopes/tables.rs
@@ -0,0 +1,128 @@
+//! Control tables from the platform to the programs of a VM, and feeds.
+
+use std::time;
+
+use bincode::config;
+use persimmontack::blackboard::control_board;
+use persimmontack::decide::rule_log;
+use persimmontack::entry::board;
+use persimmontack::link::feed_update;
+use persimmontack::model::{control_tables, log_position, upstream_state};
+use persimmontack::rules::rule_set;
+
+use crate::slopes::{cost, deployment, row};
+
+/// Numbers of upstreams in one update.
+const FEED_SIZES: [usize; 4] = [1, 3, 17, 100];
+
+/// Measures all sizes.
+pub fn measure(report: &mut row::Report) {
+    for count in deployment::VM_COUNTS {
+        measure_tables(report, count);
+    }
+    for count in FEED_SIZES {
+        measure_feed(report, count);
+    }
+}
+
+fn measure_tables(report: &mut row::Report, count: usize) {
+    let (tables, held) = cost::held_bytes(|| deployment::tables(count));
+    let mut add = |measure: &str, value: f64, quantity: &str| {
+        report.add(measure, count, "VMs", value, quantity);
+    };
+    add("control tables", held as f64, "bytes held");
+    let list = |bytes: Result<Vec<u8>, _>| bytes.map_or(0, |bytes| bytes.len()) as f64;
+    add(
+        "list of the groups from the platform",
+        list(serde_json::to_vec(&tables.groups)),
+        "bytes",
+    );
+    add(
+        "list of the VMs from the platform",
+        list(serde_json::to_vec(&tables.vms)),
+        "bytes",
+    );
+    let encode = || bincode::serde::encode_to_vec(&tables, config::standard()).unwrap_or_default();
+    let bytes = encode();
+    add("control tables to a program", bytes.len() as f64, "bytes");
+    add("control tables, encode", cost::microseconds(encode), "us");
+    let decode = || {
+        bincode::serde::decode_from_slice::<control_tables::ControlTables, _>(
+            &bytes,
+            config::standard(),
+        )
+        .is_ok()
+    };
+    add("control tables, decode", cost::microseconds(decode), "us");
+    let keeper = control_board::ControlBoard::new("vm-0000");
+    keeper.members().take_list(tables.vms.clone(), keeper.now());
+    *keeper.groups() = tables.groups.clone();
+    keeper
+        .rules()
+        .take(rule_log::RuleUpdate::Snapshot(rule_log::RuleSnapshot {
+            revision: tables.rules_revision,
+            text: tables.rules_text,
+        }));
+    keeper.publish();
+    add(
+        "comparison of unchanged tables",
+        cost::microseconds(|| keeper.publish()),
+        "us",
+    );
+}
+
+fn report_of(number: usize, version: u64) -> feed_update::UpstreamReport {
+    let position = log_position::LogPosition::new(3, 1_000_000 + version);
+    feed_update::UpstreamReport {
+        state: upstream_state::UpstreamState {
+            upstream: format!("group-{:05}-{}", number / 3, number % 3),
+            incarnation: 1,
+            version,
+            promised: 3,
+            primary_term: number.is_multiple_of(3).then_some(3),
+            held: position,
+            applied: position,
+            starts: vec![log_position::LogPosition::new(3, 1)],
+        },
+        reachable: true,
+        wait: time::Duration::from_micros(300),
+    }
+}
+
+fn measure_feed(report: &mut row::Report, count: usize) {
+    let update = feed_update::FeedUpdate {
+        reports: (0..count).map(|number| report_of(number, 1)).collect(),
+        leaving: false,
+    };
+    let mut add = |measure: &str, value: f64, quantity: &str| {
+        report.add(measure, count, "upstreams", value, quantity);
+    };
+    let encode = || bincode::serde::encode_to_vec(&update, config::standard()).unwrap_or_default();
+    let bytes = encode();
+    add("feed update", bytes.len() as f64, "bytes");
+    add("feed update, encode", cost::microseconds(encode), "us");
+    let decode = || {
+        bincode::serde::decode_from_slice::<feed_update::FeedUpdate, _>(&bytes, config::standard())
+            .is_ok()
+    };
+    add("feed update, decode", cost::microseconds(decode), "us");
+    let rules = rule_set::RuleSet::default();
+    let (boards, held) = cost::held_bytes(|| -> Vec<board::GroupBoard> {
+        let groups = deployment::groups(count.div_ceil(3));
+        groups
+            .iter()
+            .map(|spec| board::GroupBoard::new(spec, &rules))
+            .collect()
+    });
+    add("boards of an entry", held as f64, "bytes held");
+    let mut version = 1;
+    let merge = cost::microseconds(|| {
+        version += 1;
+        for number in 0..count {
+            if let Some(board) = boards.get(number / 3) {
+                board.apply("vm-0000", &report_of(number, version));
+            }
+        }
+    });
+    add("feed update, merge", merge, "us");
+}
--- a/tests/testenv/src/child_process.rs
+++ b/tests/testenv/src/child_process.rs
@@ -84,6 +84,12 @@
         }
     }
 
+    /// Returns the process id.
+    #[must_use]
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Returns the address of a listener: `listen`, `link` or `health`.
     #[must_use]
     pub fn address(&self, what: &str) -> Option<net::SocketAddr> {
