--- a/src/keeper/rules_watch.rs
+++ b/src/keeper/rules_watch.rs
@@ -7,6 +7,7 @@
 use crate::blackboard::control_board;
 use crate::decide::{ownership, rule_log};
 use crate::event;
+use crate::model::ids;
 use crate::platform::client;
 use crate::platform::{kv_entry, platform_error};
 
@@ -23,58 +24,140 @@
 const MIN_BACK_OFF: time::Duration = time::Duration::from_millis(200);
 const MAX_BACK_OFF: time::Duration = time::Duration::from_secs(2);
 
-/// Watches the store for good. The whole log is read once, and then only the next change is waited
-/// for, so that the cost of a watch does not grow with the log.
+/// Watches the store for good.
 pub async fn run(board: sync::Arc<control_board::ControlBoard>, platform: client::PlatformClient) {
-    let mut whole = true;
-    let mut after = 0;
+    let mut watch = RulesWatch {
+        board,
+        platform,
+        synced: false,
+        after: 0,
+        stored: 0,
+    };
     let mut back_off = MIN_BACK_OFF;
     loop {
-        let known = board.rules().current().revision;
-        if !whole && !watches(&board) {
+        if watch.synced && !watches(&watch.board) {
             tokio::time::sleep(IDLE_PAUSE).await;
             continue;
         }
-        let listing = if whole {
-            platform.list(rule_log::RULES_PREFIX).await
-        } else {
+        match watch.turn().await {
+            Ok(true) => back_off = MIN_BACK_OFF,
+            Ok(false) => {
+                // The log cannot be followed; the next turn starts from the snapshot.
+                watch.synced = false;
+                tokio::time::sleep(MAX_BACK_OFF).await;
+            }
+            Err(error) => {
+                event::debug("rules_watch_failed", &[("cause", &error)]);
+                let jitter = back_off.mul_f64(rand::random_range(0.0..0.5));
+                tokio::time::sleep(back_off + jitter).await;
+                back_off = (back_off * 2).min(MAX_BACK_OFF);
+            }
+        }
+    }
+}
+
+/// The place up to which the store is known. Only the key of the next change is watched: a watch
+/// returns what it lists, also when its time lapses.
+struct RulesWatch {
+    board: sync::Arc<control_board::ControlBoard>,
+    platform: client::PlatformClient,
+    /// True once the snapshot and the changes after it are taken.
+    synced: bool,
+    /// Revision of the store after which the next change is awaited.
+    after: u64,
+    /// Revision of the snapshot in the store, as far as it is known.
+    stored: ids::RuleRevision,
+}
+
+impl RulesWatch {
+    /// Waits for a change and takes it. Returns whether the log could be followed.
+    async fn turn(&mut self) -> Result<bool, platform_error::PlatformError> {
+        let followed = if self.synced {
+            let known = self.board.rules().current().revision;
             let next = rule_log::log_key(known + 1);
-            platform.watch(&next, after, WATCH_WAIT).await
+            let listing = self.platform.watch(&next, self.after, WATCH_WAIT).await?;
+            let followed = take_changes(&self.board, &listing);
+            let moved = self.board.rules().current().revision > known;
+            self.after = if moved { 0 } else { listing.revision };
+            followed
+        } else {
+            self.catch_up().await?
         };
-        let failed = match listing {
-            Ok(listing) if whole => {
-                take_listing(&board, &listing);
-                if let Err(error) = write_snapshot(&board, &platform, &listing).await {
-                    event::warn("rules_snapshot_failed", &[("cause", &error)]);
-                }
-                (whole, after) = (false, 0);
-                None
-            }
-            Ok(listing) => {
-                take_listing(&board, &listing);
-                let revision = board.rules().current().revision;
-                // A change that cannot be taken alone needs the whole log, and a snapshot may be
-                // due.
-                let stuck = revision == known && !listing.entries.is_empty();
-                let interval = rule_log::SNAPSHOT_INTERVAL;
-                whole = stuck || revision / interval > known / interval;
-                after = if revision > known {
-                    0
-                } else {
-                    listing.revision
-                };
-                stuck.then(|| "the next change cannot be taken".to_owned())
+        if let Err(error) = self.write_snapshot().await {
+            event::warn("rules_snapshot_failed", &[("cause", &error)]);
+        }
+        Ok(followed)
+    }
+
+    /// Takes the snapshot, and the log after it block by block.
+    async fn catch_up(&mut self) -> Result<bool, platform_error::PlatformError> {
+        self.take_snapshot().await?;
+        loop {
+            let prefix = self.next_prefix();
+            let listing = self.platform.list(&prefix).await?;
+            let followed = take_changes(&self.board, &listing);
+            if followed && self.next_prefix() != prefix {
+                continue;
             }
-            Err(error) => Some(error.to_string()),
+            self.synced = followed;
+            self.after = 0;
+            // After the publication, so that the first tables handed out have the rules.
+            self.board.set_rules_known();
+            return Ok(followed);
+        }
+    }
+
+    fn next_prefix(&self) -> String {
+        rule_log::block_prefix(self.board.rules().current().revision + 1)
+    }
+
+    async fn read_snapshot(
+        &mut self,
+    ) -> Result<(u64, Option<rule_log::RuleSnapshot>), platform_error::PlatformError> {
+        let entry = self.platform.get(rule_log::SNAPSHOT_KEY).await?;
+        let snapshot = entry.as_ref().and_then(decode::<rule_log::RuleSnapshot>);
+        self.stored = snapshot.as_ref().map_or(0, |snapshot| snapshot.revision);
+        Ok((entry.map_or(0, |entry| entry.revision), snapshot))
+    }
+
+    async fn take_snapshot(&mut self) -> Result<(), platform_error::PlatformError> {
+        let (_, Some(snapshot)) = self.read_snapshot().await? else {
+            return Ok(());
         };
-        let Some(cause) = failed else {
-            back_off = MIN_BACK_OFF;
-            continue;
+        let revision = snapshot.revision;
+        let outcome = self
+            .board
+            .rules()
+            .take(rule_log::RuleUpdate::Snapshot(snapshot));
+        if outcome == rule_log::TakeOutcome::Taken {
+            report_revision(&self.board, revision);
+        }
+        Ok(())
+    }
+
+    /// Rewrites the snapshot when it has fallen behind. The expected revision lets one keeper win.
+    async fn write_snapshot(&mut self) -> Result<(), platform_error::PlatformError> {
+        let current = self.board.rules().current().clone();
+        if current.revision < self.stored + rule_log::SNAPSHOT_INTERVAL {
+            return Ok(());
+        }
+        let (expected, _) = self.read_snapshot().await?;
+        if current.revision < self.stored + rule_log::SNAPSHOT_INTERVAL {
+            return Ok(());
+        }
+        let body = kv_entry::PutBody {
+            value: serde_json::to_string(&current).unwrap_or_default(),
+            expected: Some(expected),
+            lease: None,
         };
-        event::debug("rules_watch_failed", &[("cause", &cause)]);
-        let jitter = back_off.mul_f64(rand::random_range(0.0..0.5));
-        tokio::time::sleep(back_off + jitter).await;
-        back_off = (back_off * 2).min(MAX_BACK_OFF);
+        match self.platform.put(rule_log::SNAPSHOT_KEY, &body).await {
+            Ok(_) => {
+                self.stored = current.revision;
+                Ok(())
+            }
+            Err(platform_error::PlatformError::Conflict { .. }) => Ok(()),
+            Err(error) => Err(error),
+        }
     }
 }
 
@@ -100,72 +183,44 @@
         .ok()
 }
 
-fn take_listing(board: &control_board::ControlBoard, listing: &kv_entry::KvListing) {
+/// Takes the changes of a block. Returns false if they do not continue the text in force.
+fn take_changes(board: &control_board::ControlBoard, listing: &kv_entry::KvListing) -> bool {
     let known = board.rules().current().revision;
-    let mut snapshot: Option<rule_log::RuleSnapshot> = None;
-    let mut changes = Vec::new();
-    for entry in &listing.entries {
-        if entry.key == rule_log::SNAPSHOT_KEY {
-            snapshot = decode(entry);
-        } else if let Some(revision) = entry.key.strip_prefix(rule_log::LOG_PREFIX)
-            && revision
-                .parse::<u64>()
-                .is_ok_and(|revision| revision > known)
-            && let Some(change) = decode::<rule_log::RuleChange>(entry)
-        {
-            changes.push(change);
-        }
-    }
-    let mut rules = board.rules();
-    let mut outcome = rules.take(rule_log::RuleUpdate::Changes(changes.clone()));
-    if matches!(
-        outcome,
-        rule_log::TakeOutcome::Missing | rule_log::TakeOutcome::Broken(_)
-    ) && let Some(snapshot) = snapshot
-    {
-        rules.take(rule_log::RuleUpdate::Snapshot(snapshot));
-        outcome = rules.take(rule_log::RuleUpdate::Changes(changes));
-    }
-    let revision = rules.current().revision;
-    drop(rules);
-    if let rule_log::TakeOutcome::Broken(error) = outcome {
-        event::error("rules_broken", &[("cause", &error)]);
-    }
-    if revision > known {
-        event::info(
-            "rules_in_force",
-            &[("revision", &revision), ("from", &"store")],
-        );
-        board.publish();
-    }
-    // After the publication, so that the first tables handed out have the rules.
-    board.set_rules_known();
-}
-
-/// Rewrites the snapshot when it has fallen behind. The expected revision lets one keeper win.
-async fn write_snapshot(
-    board: &control_board::ControlBoard,
-    platform: &client::PlatformClient,
-    listing: &kv_entry::KvListing,
-) -> Result<(), platform_error::PlatformError> {
-    let entry = listing
+    let changes = listing
         .entries
         .iter()
-        .find(|entry| entry.key == rule_log::SNAPSHOT_KEY);
-    let stored = entry
-        .and_then(decode::<rule_log::RuleSnapshot>)
-        .map_or(0, |snapshot| snapshot.revision);
-    let current = board.rules().current().clone();
-    if current.revision < stored + rule_log::SNAPSHOT_INTERVAL {
-        return Ok(());
-    }
-    let body = kv_entry::PutBody {
-        value: serde_json::to_string(&current).unwrap_or_default(),
-        expected: Some(entry.map_or(0, |entry| entry.revision)),
-        lease: None,
+        .filter(|entry| {
+            let revision = entry.key.strip_prefix(rule_log::LOG_PREFIX);
+            let revision = revision.and_then(|revision| revision.parse::<u64>().ok());
+            revision.is_some_and(|revision| revision > known)
+        })
+        .filter_map(decode::<rule_log::RuleChange>)
+        .collect();
+    let (outcome, revision) = {
+        let mut rules = board.rules();
+        let outcome = rules.take(rule_log::RuleUpdate::Changes(changes));
+        (outcome, rules.current().revision)
     };
-    match platform.put(rule_log::SNAPSHOT_KEY, &body).await {
-        Ok(_) | Err(platform_error::PlatformError::Conflict { .. }) => Ok(()),
-        Err(error) => Err(error),
+    if revision > known {
+        report_revision(board, revision);
     }
+    match outcome {
+        rule_log::TakeOutcome::Taken | rule_log::TakeOutcome::Known => true,
+        rule_log::TakeOutcome::Missing => {
+            event::error("rules_missing", &[("revision", &(revision + 1))]);
+            false
+        }
+        rule_log::TakeOutcome::Broken(error) => {
+            event::error("rules_broken", &[("cause", &error)]);
+            false
+        }
+    }
+}
+
+fn report_revision(board: &control_board::ControlBoard, revision: ids::RuleRevision) {
+    event::info(
+        "rules_in_force",
+        &[("revision", &revision), ("from", &"store")],
+    );
+    board.publish();
 }
