Settle a commit only by a start entry that every later primary has

Trace: index-1, primary of term 34, committed the write at 34/1703 without a follower. index-2 had been fenced and promoted in term 57 with its log up to 34/1691, and was replaced before anyone held its start entry. Term 69 started from the log of index-1, and its start entry on two upstreams settled the write as kept. The session was given 34/1703, and index-2 with 57/1693 is above that without having the write. Ruled out: the write was not lost (it is in the final log), and the route followed the position as given.

The random model of the group, which now also copies logs in part and checks that no log reaches a barrier without its write, showed a second hole of the same rule: two upstreams may hold the start entry of a later term that they both got from a still later primary, and that entry may yet be replaced.

Now a commit is settled by the start entry of a term that two upstreams hold while they promise that term, and the session gets the position of that entry.

--- a/src/decide/confirm.rs
+++ b/src/decide/confirm.rs
@@ -6,8 +6,9 @@
 /// What is known about a commit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CommitVerdict {
-    /// A second upstream holds it, or every later primary does.
-    Kept,
+    /// A second upstream holds it, or every later primary does. Every log that has reached the
+    /// position contains the commit.
+    Kept(log_position::LogPosition),
     /// A later primary started below it, so it is gone.
     Dropped,
     /// Nothing settles it yet.
@@ -24,12 +25,15 @@
         .clone()
         .any(|state| state.upstream != committer && state.confirms(position));
     if confirmed {
-        return CommitVerdict::Kept;
+        return CommitVerdict::Kept(position);
     }
-    let Some((start, holder)) = settled_start(position.term, states) else {
+    let Some((settled, holder)) = settled_start(position.term, states) else {
         return CommitVerdict::Pending;
     };
-    if position.offset >= start.offset {
+    let Some(next) = holder.first_start_after(position.term) else {
+        return CommitVerdict::Pending;
+    };
+    if position.offset >= next.offset {
         return CommitVerdict::Dropped;
     }
     // The offset alone proves nothing: the later primary may have started from a log that never had
@@ -39,7 +43,9 @@
         holder.starts.iter().any(|start| wanted(start.term))
     };
     if has(&|term| term == position.term) {
-        CommitVerdict::Kept
+        // A primary of a term in between may have started from a log without the commit and never
+        // have been settled. Its position is above the commit's, but below the settled start.
+        CommitVerdict::Kept(settled)
     } else if has(&|term| term < position.term) {
         CommitVerdict::Dropped
     } else {
@@ -48,22 +54,24 @@
     }
 }
 
-/// Returns the start entry of the first term after `term` once two upstreams hold it, with one of them. One copy is no
-/// evidence: a primary that was cut off right after its promotion may be replaced without a trace.
+/// Returns a start entry of a term after `term` that every later primary has, with an upstream that
+/// holds it. Two upstreams have to hold it while they promise its term and no higher one. A start
+/// that two got later, from a primary of a higher term, may still be replaced.
 fn settled_start<'a>(
     term: ids::TermNumber,
     states: impl Iterator<Item = &'a upstream_state::UpstreamState> + Clone,
 ) -> Option<(log_position::LogPosition, &'a upstream_state::UpstreamState)> {
-    let holds = |state: &upstream_state::UpstreamState, start: log_position::LogPosition| {
-        state.first_start_after(term) == Some(start) && state.held >= start
-    };
     states
         .clone()
-        .filter_map(|state| Some((state.first_start_after(term)?, state)))
+        .filter(|state| state.promised > term)
+        .filter_map(|state| {
+            let own = |start: &&log_position::LogPosition| start.term == state.promised;
+            Some((*state.starts.iter().find(own)?, state))
+        })
         .filter(|(start, _)| {
             states
                 .clone()
-                .filter(|state| holds(state, *start))
+                .filter(|state| state.confirms(*start))
                 .map(|state| &state.upstream)
                 .collect::<std::collections::BTreeSet<_>>()
                 .len()
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -422,12 +422,12 @@
         }
         if let Some(position) = done.position {
             let verdict = if relaxed {
-                confirm::CommitVerdict::Kept
+                confirm::CommitVerdict::Kept(position)
             } else {
                 self.wait_for_confirmation(&upstream, position).await?
             };
             match verdict {
-                confirm::CommitVerdict::Kept => self.acknowledge(position),
+                confirm::CommitVerdict::Kept(reached) => self.acknowledge(reached),
                 confirm::CommitVerdict::Dropped => {
                     metrics::counter!("persimmontack_commits_dropped_total").increment(1);
                     self.end_with_error(
--- a/src/entry/settlement.rs
+++ b/src/entry/settlement.rs
@@ -54,8 +54,10 @@
             };
             if let Some(position) = confirmed {
                 return Ok(position.term == term
-                    && self.wait_for_confirmation(upstream, position).await?
-                        == confirm::CommitVerdict::Kept);
+                    && matches!(
+                        self.wait_for_confirmation(upstream, position).await?,
+                        confirm::CommitVerdict::Kept(_)
+                    ));
             }
             if self.context.now() >= deadline {
                 return Ok(false);
--- a/tests/decide_entry.rs
+++ b/tests/decide_entry.rs
@@ -78,8 +78,17 @@
         Some(position)
     }
 
-    /// Copies the log of a primary to a follower that has promised no higher term.
-    fn follow(&mut self, follower: usize, primary: usize) {
+    /// Tells whether an upstream has applied a barrier without the write that it stands for.
+    fn missing(&self, position: LogPosition, barrier: LogPosition) -> bool {
+        self.states
+            .iter()
+            .zip(&self.logs)
+            .any(|(state, log)| state.applied >= barrier && !log.contains(&position))
+    }
+
+    /// Copies the log of a primary, up to `length` if the two differ above, to a follower that has
+    /// promised no higher term.
+    fn follow(&mut self, follower: usize, primary: usize, length: usize) {
         let Some(term) = self.states[primary].primary_term else {
             return;
         };
@@ -88,19 +97,27 @@
         }
         self.states[follower].promised = term;
         self.states[follower].primary_term = None;
-        self.logs[follower] = self.logs[primary].clone();
+        let same = self.logs[primary]
+            .iter()
+            .zip(&self.logs[follower])
+            .take_while(|(one, other)| one == other)
+            .count();
+        let length = length.max(same).min(self.logs[primary].len());
+        self.logs[follower] = self.logs[primary][..length].to_vec();
         self.refresh(follower);
     }
 }
 
-/// Guards against acknowledging a write that a failover drops, reporting a kept one as dropped, and
-/// confirming a position below an acknowledged write.
+/// Guards against acknowledging a write that a failover drops, reporting a kept one as dropped,
+/// confirming a position below an acknowledged write, and a barrier that a log without the write can
+/// reach.
 #[test]
 fn verdicts_and_confirmed_positions_hold_in_every_later_term() {
     arbtest::arbtest(|u| {
         let mut model = GroupModel::new();
         let mut commits: Vec<(usize, LogPosition)> = Vec::new();
         let mut kept: Vec<LogPosition> = Vec::new();
+        let mut barriers: Vec<(LogPosition, LogPosition)> = Vec::new();
         let mut dropped: Vec<LogPosition> = Vec::new();
         // Feeds lag: each upstream's known state is one that it had at some time.
         let mut known = model.states.clone();
@@ -112,13 +129,16 @@
                     model.promote([first, second]);
                 }
                 1 | 2 => commits.extend(model.commit(first).map(|position| (first, position))),
-                3 => model.follow(first, second),
+                3 => model.follow(first, second, u.int_in_range(0..=12)?),
                 _ => known[first] = model.states[first].clone(),
             }
             for (committer, position) in &commits {
                 let name = &model.states[*committer].upstream;
                 match confirm::judge_commit(name, *position, known.iter()) {
-                    confirm::CommitVerdict::Kept => kept.push(*position),
+                    confirm::CommitVerdict::Kept(reached) => {
+                        kept.push(*position);
+                        barriers.push((*position, reached));
+                    }
                     confirm::CommitVerdict::Dropped => dropped.push(*position),
                     confirm::CommitVerdict::Pending => {}
                 }
@@ -129,11 +149,17 @@
                     "{position} is kept and dropped"
                 );
             }
+            for (position, reached) in &barriers {
+                let missing = model.missing(*position, *reached);
+                assert!(!missing, "a log at {reached} lacks {position}");
+            }
             // Observed at once, so whatever is confirmed has to cover all acknowledged writes.
             let observed = [model.states[first].clone(), model.states[second].clone()];
             if let Some(confirmed) = barrier::confirm_position(&observed) {
                 for position in &kept {
                     assert!(*position <= confirmed, "{position} is above {confirmed}");
+                    let missing = model.missing(*position, confirmed);
+                    assert!(!missing, "a log at {confirmed} lacks {position}");
                 }
             }
         }
@@ -185,11 +211,12 @@
     );
     assert_eq!(
         judge(&[state("b", 2, position)]),
-        confirm::CommitVerdict::Kept
+        confirm::CommitVerdict::Kept(position)
     );
 }
 
-/// Guards against settling a commit by a start entry that only one upstream holds.
+/// Guards against settling a commit by a start entry that only one upstream holds, and against a
+/// barrier below that start, which an upstream of an unsettled term in between can reach.
 #[test]
 fn a_later_term_settles_a_commit_once_two_hold_its_start() {
     let start = LogPosition::new(3, 4);
@@ -206,7 +233,7 @@
         confirm::judge_commit("a", LogPosition::new(2, offset), states.iter())
     };
     assert_eq!(judge(3, &one), confirm::CommitVerdict::Pending);
-    assert_eq!(judge(3, &two), confirm::CommitVerdict::Kept);
+    assert_eq!(judge(3, &two), confirm::CommitVerdict::Kept(start));
     assert_eq!(judge(4, &two), confirm::CommitVerdict::Dropped);
 }
 
