Hold copies back in the proofs of acknowledged writes; record what failed first

With confirmation switched off in a scratch copy, a_killed_primary_loses_nothing passed, since copies arrived at once. With copies 40 ms late, 9 of the 12 tests fail with it off, and all pass with it on.

--- a/tests/acknowledged_writes.rs
+++ b/tests/acknowledged_writes.rs
@@ -10,8 +10,21 @@
 /// A confirmation that waits for as long as the test does.
 const PATIENT: &str = "confirm_deadline = \"60s\"";
 
+/// Copies arrive late, so that a primary has writes that only it holds at any moment.
+fn plan(limits: &str) -> env_plan::EnvPlan {
+    let mut plan = proof::plan(limits);
+    for upstream in plan
+        .groups
+        .iter_mut()
+        .flat_map(|group| &mut group.upstreams)
+    {
+        upstream.receive_delay_ms = 40;
+    }
+    plan
+}
+
 async fn start() -> (test_env::TestEnv, proof::CallerLoad) {
-    let mut env = proof::start(proof::plan(LIMITS)).await;
+    let mut env = proof::start(plan(LIMITS)).await;
     let load = proof::CallerLoad::start(&mut env);
     load.more(20).await;
     (env, load)
@@ -129,7 +142,7 @@
 /// Guards against a keeper that acts on a lease it lost while it was paused.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_paused_lease_holder_does_no_harm() {
-    let mut plan = proof::plan(LIMITS);
+    let mut plan = plan(LIMITS);
     let limits = format!("{}[limits]\nlease_ms = 1000\n", proof::KEEPER_TIMES);
     plan.settings.insert("persimmon-keeper".to_owned(), limits);
     let mut env = proof::start(plan).await;
@@ -154,7 +167,7 @@
 /// Guards against two primaries in one term when all keepers act at the same moment.
 #[tokio::test(flavor = "multi_thread")]
 async fn keepers_that_act_at_once_settle_by_term() {
-    let mut plan = proof::plan(LIMITS);
+    let mut plan = plan(LIMITS);
     let times = format!("{}rank_delay_ms = 0\nsettle_ms = 0\n", proof::KEEPER_TIMES);
     plan.settings.insert("persimmon-keeper".to_owned(), times);
     let mut env = proof::start(plan).await;
@@ -209,7 +222,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_commit_without_a_copy_is_told_as_dropped() {
     let hold = async |env: &test_env::TestEnv, centre| hold_copies(env, centre);
-    let (env, primary, caller) = commit_in_flight(proof::plan(PATIENT), hold).await;
+    let (env, primary, caller) = commit_in_flight(plan(PATIENT), hold).await;
     let (term, _) = proof::primary(&env);
     env.signal(&primary, "STOP").expect("stop");
     proof::next_primary(&env, term).await;
@@ -225,7 +238,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_commit_that_nothing_settles_is_told_as_unknown() {
     let hold = async |env: &test_env::TestEnv, centre| hold_copies(env, centre);
-    let plan = proof::plan("confirm_deadline = \"500ms\"");
+    let plan = plan("confirm_deadline = \"500ms\"");
     let (env, _primary, caller) = commit_in_flight(plan, hold).await;
     let told = caller.await.expect("caller");
     assert!(told.is("40003"), "{told:?}");
@@ -245,7 +258,7 @@
                 .expect("stop");
         }
     };
-    let (mut env, primary, caller) = commit_in_flight(proof::plan(PATIENT), hold).await;
+    let (mut env, primary, caller) = commit_in_flight(plan(PATIENT), hold).await;
     let (term, _) = proof::primary(&env);
     let centre = proof::centre_of(&env, &primary);
     let position = proof::GroupJournals::read(&env).committed("in-flight");
