--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -11,8 +11,6 @@
 use crate::rules::rule_set;
 use crate::{counters, event};
 
-/// Longest wait without a look at the states of a group whose commit is to be confirmed.
-const CONFIRM_CHECK: time::Duration = time::Duration::from_millis(100);
 /// SQLSTATE of a transaction that is lost with its connection.
 const CONNECTION_FAILURE: &str = "08006";
 
@@ -69,23 +67,27 @@
             } else {
                 limits.read_deadline
             };
-        let floor = if access == work_request::WorkAccess::Read {
+        // A transaction may read what a replaced primary has. The commit of a single write proves
+        // that its primary was none.
+        let floor = if access == work_request::WorkAccess::Read || batch.begins() {
             match self.read_floor(batch, deadline, cancelled.as_mut()).await {
                 Ok(floor) => floor,
                 Err(failure) => return self.refuse(Result::from(failure)?).await,
             }
         } else {
-            log_position::LogPosition::default()
+            self.barrier.own().unwrap_or_default()
         };
         let mut avoid = Vec::new();
         let mut attempt = 0;
+        // Set once an attempt may have run, which a later refusal must not deny.
+        let mut cut_off = None;
         loop {
             let found = self
                 .find_route(access, floor, deadline, &avoid, cancelled.as_mut())
                 .await;
             let (choice, view) = match found {
                 Ok(found) => found,
-                Err(failure) => return self.refuse(Result::from(failure)?).await,
+                Err(failure) => return self.end_refused(Result::from(failure)?, cut_off).await,
             };
             let end = self
                 .attempt(batch, &choice, &view, floor, deadline, cancelled.as_mut())
@@ -103,6 +105,12 @@
                 AttemptEnd::Retry(reason, upstream, refusal) => (reason, upstream, refusal),
             };
             self.writer.output.clear();
+            if matches!(
+                reason,
+                retry_reason::RetryReason::LinkBroken | retry_reason::RetryReason::UpstreamBroken
+            ) {
+                cut_off = Some(refusal.detail.clone());
+            }
             let stays = matches!(
                 refusal.reason,
                 refusal_reason::RefusalReason::Cancelled
@@ -115,7 +123,7 @@
                     .wait_for_retry(&mut attempt, deadline, cancelled.as_mut())
                     .await?
             {
-                return self.refuse(refusal).await;
+                return self.end_refused(refusal, cut_off).await;
             }
             counters::count_retry(reason);
             if access == work_request::WorkAccess::Read && !avoid.contains(&upstream) {
@@ -176,7 +184,8 @@
         let hold = access == work_request::WorkAccess::Write && batch.executes;
         let work = work_frame::WorkFrame::Batch(self.request(batch, request, deadline, hold));
         let mut opened = None;
-        for pool in self.context.owners(&view.spec).into_iter().take(2) {
+        let owners = self.context.open_owners(&view.spec).await;
+        for pool in owners.into_iter().take(2) {
             let Ok((mut writer, reader)) = pool.open(stream_kind::StreamKind::Work).await else {
                 continue;
             };
@@ -189,6 +198,8 @@
                 reader,
                 upstream: choice.upstream.clone(),
                 access,
+                term: choice.term,
+                unproved: hold && !batch.begins(),
                 pool: pool.vm.clone(),
                 tables: batch.tables.clone(),
                 failed: false,
@@ -229,7 +240,7 @@
                         },
                     ));
                 }
-                self.finish_batch(unit, done)
+                self.finish_batch(unit, done, sent)
                     .await
                     .map(AttemptEnd::Answered)
             }
@@ -266,12 +277,7 @@
                     ));
                 }
                 if batch.is_repeatable() {
-                    self.end_with_error(
-                        CONNECTION_FAILURE,
-                        "the answer to the read was cut off; it changed nothing",
-                        &detail,
-                    )
-                    .await?;
+                    self.end_cut_off(&detail).await?;
                     return Ok(AttemptEnd::Answered(false));
                 }
                 Ok(AttemptEnd::Unknown(detail))
@@ -313,19 +319,21 @@
         self.context.budget(self.number).record_request(now);
         let deadline = now + self.context.settings.limits.write_deadline;
         let writes = unit.access == work_request::WorkAccess::Write;
-        let hold = writes && batch.may_commit();
+        let commits = writes && batch.may_commit();
+        // The answer to any write is held back, because a unique violation has to be confirmed.
+        let hold = commits
+            || (writes && batch.executes && batch.access() == work_request::WorkAccess::Write);
         let work = work_frame::WorkFrame::Batch(self.request(batch, request, deadline, hold));
         unit.tables.extend(batch.tables.iter().cloned());
-        let end = if let Err(error) = unit.writer.send(&work).await {
-            unit::BatchEnd::Refused(work_reply::WorkRefusal {
+        let (end, sent) = if let Err(error) = unit.writer.send(&work).await {
+            let refusal = work_reply::WorkRefusal {
                 reason: refusal_reason::RefusalReason::Unreachable,
                 detail: error.to_string(),
-            })
+            };
+            (unit::BatchEnd::Refused(refusal), false)
         } else {
-            let (end, _sent) = unit
-                .receive(request, &mut self.reader, &mut self.writer, hold, cancelled)
-                .await?;
-            end
+            unit.receive(request, &mut self.reader, &mut self.writer, hold, cancelled)
+                .await?
         };
         let lost = if batch.ends() {
             session::TransactionState::Idle
@@ -333,7 +341,7 @@
             session::TransactionState::Lost
         };
         match end {
-            unit::BatchEnd::Done(done) => self.finish_batch(unit, done).await,
+            unit::BatchEnd::Done(done) => self.finish_batch(unit, done, sent).await,
             unit::BatchEnd::Refused(refusal) => {
                 self.transaction = lost;
                 counters::count_refusal(refusal.reason);
@@ -358,7 +366,7 @@
                     "transaction_broken",
                     &[("upstream", &unit.upstream), ("detail", &detail)],
                 );
-                if hold {
+                if commits {
                     self.end_unknown(&detail).await?;
                 } else {
                     self.end_with_error(
@@ -378,8 +386,13 @@
         &mut self,
         mut unit: unit::WorkUnit,
         done: work_reply::BatchDone,
+        sent: bool,
     ) -> Result<bool, unit::CallerGone> {
         let upstream = unit.upstream.clone();
+        let conflict = done.sql_state.as_deref() == Some(sql_state::UNIQUE_VIOLATION);
+        // Nothing shows yet that a single statement without a commit did not read a replaced primary.
+        let unproved = unit.unproved && done.position.is_none() && done.sql_state.is_none();
+        let term = unit.term.filter(|_| conflict || unproved);
         let tables = std::mem::take(&mut unit.tables);
         match done.status {
             work_reply::TransactionStatus::Idle => unit.finish(),
@@ -389,10 +402,31 @@
                 self.transaction = session::TransactionState::Open(Box::new(unit));
             }
         }
+        let relaxed = self
+            .write_rule(&tables)
+            .is_some_and(|rule| rule.acknowledge == rule_set::AcknowledgeMode::Primary);
+        if let Some(term) = term.filter(|_| !relaxed)
+            && !self.is_proved(&upstream, term, conflict).await?
+        {
+            if sent {
+                // Part of the answer is out, so only the end of the connection takes it back.
+                return Err(unit::CallerGone);
+            }
+            self.writer.output.clear();
+            let detail = format!("step=prove peer={upstream} term={term}");
+            if unproved || done.position.is_some() {
+                self.end_unknown(&detail).await?;
+                return Ok(false);
+            }
+            self.end_with_error(
+                sql_state::WRITE_DROPPED,
+                "not kept: it conflicts with a row that a failover may still drop; repeat it",
+                &detail,
+            )
+            .await?;
+            return Ok(false);
+        }
         if let Some(position) = done.position {
-            let relaxed = self
-                .write_rule(&tables)
-                .is_some_and(|rule| rule.acknowledge == rule_set::AcknowledgeMode::Primary);
             let verdict = if relaxed {
                 confirm::CommitVerdict::Kept
             } else {
@@ -422,31 +456,6 @@
         Ok(done.sql_state.is_none())
     }
 
-    async fn wait_for_confirmation(
-        &mut self,
-        committer: &str,
-        position: log_position::LogPosition,
-    ) -> Result<confirm::CommitVerdict, unit::CallerGone> {
-        let board = sync::Arc::clone(&self.board);
-        let mut changes = board.subscribe();
-        let deadline = self.context.now() + self.context.settings.limits.confirm_deadline;
-        loop {
-            changes.mark_unchanged();
-            let views = board.views();
-            let states = views.iter().filter_map(|view| view.state.as_ref());
-            let verdict = confirm::judge_commit(committer, position, states);
-            let left = deadline.saturating_sub(self.context.now());
-            if verdict != confirm::CommitVerdict::Pending || left.is_zero() {
-                return Ok(verdict);
-            }
-            tokio::select! {
-                _changed = changes.changed() => {}
-                () = tokio::time::sleep(left.min(CONFIRM_CHECK)) => {}
-                () = self.reader.gone() => return Err(unit::CallerGone),
-            }
-        }
-    }
-
     async fn end_unknown(&mut self, detail: &str) -> Result<(), unit::CallerGone> {
         metrics::counter!("persimmontack_outcomes_unknown_total").increment(1);
         self.end_with_error(
@@ -457,6 +466,23 @@
         .await
     }
 
+    /// Refuses a batch, unless an earlier attempt may have run.
+    async fn end_refused(
+        &mut self,
+        refusal: route::RouteRefusal,
+        cut_off: Option<String>,
+    ) -> Result<bool, unit::CallerGone> {
+        match cut_off {
+            Some(detail) => self.end_cut_off(&detail).await.map(|()| false),
+            None => self.refuse(refusal).await,
+        }
+    }
+
+    async fn end_cut_off(&mut self, detail: &str) -> Result<(), unit::CallerGone> {
+        let text = "the answer to the read was cut off; it changed nothing";
+        self.end_with_error(CONNECTION_FAILURE, text, detail).await
+    }
+
     async fn refuse(&mut self, refusal: route::RouteRefusal) -> Result<bool, unit::CallerGone> {
         counters::count_refusal(refusal.reason);
         self.end_with_error(refusal.reason.sql_state(), &refusal.text, &refusal.detail)
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -2,7 +2,8 @@
 
 mod answer;
 mod batch;
-mod board;
+pub mod board;
+mod cancel_forward;
 mod cancel_registry;
 mod context;
 mod explain;
@@ -15,6 +16,7 @@
 mod route;
 mod session;
 mod settings;
+mod settlement;
 mod startup;
 mod tables_link;
 mod unit;
