--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -284,11 +284,9 @@
         rule_log::RuleUpdate::Changes(vec![replayed.clone()]),
     ] {
         let frame = gossip::GossipFrame {
-            pulses: Vec::new(),
             rules_revision: 2,
-            wants_tables: false,
-            tables: None,
             rules: Some(update),
+            ..gossip::GossipFrame::default()
         };
         for vm in &vms {
             let keeper = format!("{vm}-keeper");
