--- a/load/src/soak/caller_link.rs
+++ b/load/src/soak/caller_link.rs
@@ -12,8 +12,9 @@
 
 /// Time after which a caller gives up a connection attempt.
 const CONNECT_LIMIT: time::Duration = time::Duration::from_secs(6);
-/// Time after which a caller gives up a request. Longer than the longest freeze of a process.
-const ANSWER_LIMIT: time::Duration = time::Duration::from_secs(25);
+/// Time after which a caller gives up a request: the entry's `limits.silence` of 30 s, 1 s for the
+/// cancel request that follows, 5 s until a statement starts, and 8 s of a frozen process.
+const ANSWER_LIMIT: time::Duration = time::Duration::from_secs(45);
 /// Text of the outcome after that time.
 pub const NO_ANSWER: &str = "no answer in time";
 /// SQLSTATEs that mean "not run" whatever the text.
--- a/load/src/soak/check.rs
+++ b/load/src/soak/check.rs
@@ -27,6 +27,20 @@
     committed: usize,
 }
 
+/// Returns the upstream that was promoted in the highest term. Its log has to have every
+/// acknowledged write, whether it serves by now or not.
+pub fn last_promoted(
+    journals: &collections::BTreeMap<String, Vec<journal::JournalEvent>>,
+) -> Option<String> {
+    let promotions = journals.iter().flat_map(|(upstream, events)| {
+        events.iter().filter_map(move |event| match event {
+            journal::JournalEvent::Promote { entry } => Some((entry.term, upstream)),
+            _ => None,
+        })
+    });
+    promotions.max().map(|(_term, upstream)| upstream.clone())
+}
+
 /// Checks a group and reports what it finds.
 pub fn check(history: &history::RunHistory, trace: &GroupTrace) {
     let requests: Vec<history::ToldRequest> = history
--- a/load/src/soak/run.rs
+++ b/load/src/soak/run.rs
@@ -136,12 +136,14 @@
         let mut trace = check::GroupTrace {
             group: group.to_owned(),
             journals: std::collections::BTreeMap::new(),
-            primary: injector.primary(group).await,
+            primary: None,
         };
         for upstream in place::SoakPlace::upstreams(group) {
             let events = injector.env.journal(&upstream)?;
             trace.journals.insert(upstream, events);
         }
+        // By the journals, since an upstream without a free connection cannot be asked.
+        trace.primary = check::last_promoted(&trace.journals);
         check::check(history, &trace);
         traces.push(trace);
     }
