Never refuse a read as not run after an attempt was cut off

The logs show broken links between entries and pools at that time; a later attempt's refusal then ended the request. A read that was cut off before now ends with 08006.

--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -79,13 +79,19 @@
         };
         let mut avoid = Vec::new();
         let mut attempt = 0;
+        // Set once an attempt was cut off after it had been sent. From then on no refusal may say
+        // that the batch has not run.
+        let mut cut_off = None;
         loop {
             let found = self
                 .find_route(access, floor, deadline, &avoid, cancelled.as_mut())
                 .await;
             let (choice, view) = match found {
                 Ok(found) => found,
-                Err(failure) => return self.refuse(Result::from(failure)?).await,
+                Err(failure) => {
+                    let refusal = Result::from(failure)?;
+                    return self.give_up(refusal, cut_off).await;
+                }
             };
             let end = self
                 .attempt(batch, &choice, &view, floor, deadline, cancelled.as_mut())
@@ -103,6 +109,12 @@
                 AttemptEnd::Retry(reason, upstream, refusal) => (reason, upstream, refusal),
             };
             self.writer.output.clear();
+            if matches!(
+                reason,
+                retry_reason::RetryReason::LinkBroken | retry_reason::RetryReason::UpstreamBroken
+            ) {
+                cut_off = Some(refusal.detail.clone());
+            }
             let stays = matches!(
                 refusal.reason,
                 refusal_reason::RefusalReason::Cancelled
@@ -115,7 +127,7 @@
                     .wait_for_retry(&mut attempt, deadline, cancelled.as_mut())
                     .await?
             {
-                return self.refuse(refusal).await;
+                return self.give_up(refusal, cut_off).await;
             }
             counters::count_retry(reason);
             if access == work_request::WorkAccess::Read && !avoid.contains(&upstream) {
@@ -128,6 +140,23 @@
         }
     }
 
+    /// Ends a batch that is not sent again: as not run, or, if an earlier attempt was cut off, as a
+    /// read without an answer.
+    async fn give_up(
+        &mut self,
+        refusal: route::RouteRefusal,
+        cut_off: Option<String>,
+    ) -> Result<bool, unit::CallerGone> {
+        let Some(detail) = cut_off else {
+            return self.refuse(refusal).await;
+        };
+        counters::count_refusal(refusal.reason);
+        let text = "the answer to the read was cut off; it changed nothing";
+        self.end_with_error(CONNECTION_FAILURE, text, &detail)
+            .await?;
+        Ok(false)
+    }
+
     /// Waits until the batch may be sent again. Returns false if it may not within its deadline.
     async fn wait_for_retry(
         &mut self,
@@ -236,7 +265,7 @@
             unit::BatchEnd::Refused(refusal) => Ok(AttemptEnd::Retry(
                 retry_reason::RetryReason::Refused,
                 choice.upstream.clone(),
-                refusal_of(&refusal, &choice.upstream),
+                route::refusal_of(&refusal, &choice.upstream),
             )),
             unit::BatchEnd::Broken {
                 step,
@@ -464,11 +493,3 @@
         Ok(false)
     }
 }
-
-fn refusal_of(refusal: &work_reply::WorkRefusal, upstream: &str) -> route::RouteRefusal {
-    route::RouteRefusal {
-        reason: refusal.reason,
-        text: format!("not run: the pool refused the batch: {}", refusal.reason),
-        detail: format!("step=open peer={upstream} {}", refusal.detail),
-    }
-}
--- a/src/entry/route.rs
+++ b/src/entry/route.rs
@@ -6,7 +6,7 @@
 
 use crate::decide::{barrier, routing};
 use crate::entry::{batch, observer, session, unit};
-use crate::link::work_request;
+use crate::link::{work_reply, work_request};
 use crate::model::{ids, log_position, refusal_reason};
 
 /// Longest wait without a look at the tables; changes wake the wait earlier.
@@ -175,3 +175,12 @@
         }
     }
 }
+
+/// Words a pool's refusal for the caller.
+pub fn refusal_of(refusal: &work_reply::WorkRefusal, upstream: &str) -> RouteRefusal {
+    RouteRefusal {
+        reason: refusal.reason,
+        text: format!("not run: the pool refused the batch: {}", refusal.reason),
+        detail: format!("step=open peer={upstream} {}", refusal.detail),
+    }
+}
