--- a/src/decide/slot_times.rs
+++ b/src/decide/slot_times.rs
@@ -11,6 +11,12 @@
 const GENERATION_SIZE: usize = 2_048;
 /// Weight of the newest measurement in the mean.
 const NEWEST_WEIGHT: f64 = 0.2;
+/// Largest measurement that is taken in, as a multiple of the mean. One pause of the machine or of
+/// the upstream raised the mean of a 5 ms statement above 50 ms before this bound, and the statement
+/// then waited behind exports for the slots of long work until it had run several times.
+const OUTLIER_FACTOR: f64 = 2.0;
+/// Slot time up to which a measurement is taken in whatever the mean is, in seconds.
+const OUTLIER_FLOOR: f64 = 0.010;
 /// Assumed slot time before anything is measured.
 const INITIAL_MEAN: time::Duration = time::Duration::from_millis(2);
 
@@ -73,15 +79,19 @@
         self.overall += NEWEST_WEIGHT * (seconds - self.overall);
         self.update(
             fingerprint,
-            |mean| mean + NEWEST_WEIGHT * (seconds - mean),
+            |mean| {
+                let bounded = seconds.min((mean * OUTLIER_FACTOR).max(OUTLIER_FLOOR));
+                mean + NEWEST_WEIGHT * (bounded - mean)
+            },
             seconds,
         );
     }
 
-    /// Notes that a statement has already run for `elapsed`, which is a lower bound of its time.
+    /// Notes that a statement has already run for `elapsed`, which is a lower bound of its time. A
+    /// statement that was measured before keeps its mean, since one slow run does not make it long.
     pub fn raise(&mut self, fingerprint: ids::FingerprintId, elapsed: time::Duration) {
         let seconds = elapsed.as_secs_f64();
-        self.update(fingerprint, |mean| mean.max(seconds), seconds);
+        self.update(fingerprint, |mean| mean, seconds);
     }
 
     fn update(
