--- a/src/pool/upstream.rs
+++ b/src/pool/upstream.rs
@@ -6,7 +6,7 @@
 
 use crate::decide::schedule_limits;
 use crate::link::{feed_update, program_report};
-use crate::model::{ids, upstream_spec, upstream_state};
+use crate::model::{ids, refusal_reason, upstream_spec, upstream_state};
 use crate::pool::{
     connection_store, observer, pool_settings, slot_queue, state_reader, upstream_edge,
 };
@@ -32,6 +32,15 @@
     pub reachable: bool,
 }
 
+/// What decides whether waiting batches may go on waiting for an upstream. It changes far less often
+/// than the view, so that a long queue is not woken at each commit.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct UpstreamStanding {
+    known: bool,
+    reachable: bool,
+    primary_term: Option<ids::TermNumber>,
+}
+
 /// Everything the pool holds for one upstream.
 pub struct Upstream {
     /// The instance.
@@ -45,6 +54,7 @@
     /// Queue for slots.
     pub queue: sync::Arc<slot_queue::SlotQueue>,
     view: tokio::sync::watch::Sender<UpstreamView>,
+    standing: tokio::sync::watch::Sender<UpstreamStanding>,
     observer: observer::StateObserver,
     changes: tokio::sync::watch::Sender<u64>,
     owned: atomic::AtomicBool,
@@ -85,6 +95,7 @@
             connections: sync::Arc::new(connection_store::ConnectionStore::new(1)),
             queue: sync::Arc::new(slot_queue::SlotQueue::new(limits)),
             view: tokio::sync::watch::Sender::new(UpstreamView::default()),
+            standing: tokio::sync::watch::Sender::new(UpstreamStanding::default()),
             observer: observer::StateObserver::default(),
             changes,
             owned: atomic::AtomicBool::new(false),
@@ -184,6 +195,7 @@
             view.reachable = true;
             changed
         });
+        self.update_standing();
         if changed {
             self.changes.send_modify(|version| *version += 1);
         }
@@ -194,11 +206,48 @@
         let changed = self
             .view
             .send_if_modified(|view| std::mem::replace(&mut view.reachable, false));
+        self.update_standing();
         if changed {
             self.changes.send_modify(|version| *version += 1);
         }
     }
 
+    fn update_standing(&self) {
+        let standing = {
+            let view = self.view.borrow();
+            UpstreamStanding {
+                known: view.state.is_some(),
+                reachable: view.reachable,
+                primary_term: view.state.as_ref().and_then(|state| state.primary_term),
+            }
+        };
+        self.standing
+            .send_if_modified(|known| std::mem::replace(known, standing) != standing);
+    }
+
+    /// Completes once a batch that has not been sent cannot expect to run here any more, with the
+    /// reason. `term` is given if the upstream has to be the primary of that term.
+    ///
+    /// Without it, batches that queued behind a frozen primary waited there for slots that were
+    /// never freed, and were refused at their deadline though a new primary had long taken over.
+    pub async fn wait_lost(&self, term: Option<ids::TermNumber>) -> refusal_reason::RefusalReason {
+        let mut receiver = self.standing.subscribe();
+        let is_lost = |standing: &UpstreamStanding| {
+            let replaced = term.is_some() && standing.primary_term != term;
+            standing.known && (!standing.reachable || replaced)
+        };
+        let reachable = receiver
+            .wait_for(is_lost)
+            .await
+            .map(|standing| standing.reachable);
+        match reachable {
+            Ok(false) => refusal_reason::RefusalReason::Unreachable,
+            Ok(true) => refusal_reason::RefusalReason::NotPrimary,
+            // The upstream is being dropped, which ends the queue too.
+            Err(_closed) => std::future::pending().await,
+        }
+    }
+
     /// Returns what is known.
     #[must_use]
     pub fn view(&self) -> UpstreamView {
--- a/src/pool/work.rs
+++ b/src/pool/work.rs
@@ -156,7 +156,20 @@
             start_within: batch.start_within,
         };
         let queue = sync::Arc::clone(&self.upstream.queue);
-        let slot = match self.wait_for(queue.acquire(arrival, unit)).await {
+        let upstream = sync::Arc::clone(&self.upstream);
+        let term = self.request.term;
+        let acquire = async {
+            let acquire = queue.acquire(arrival, unit);
+            if !autocommit {
+                return acquire.await;
+            }
+            tokio::select! {
+                biased;
+                slot = acquire => slot,
+                reason = upstream.wait_lost(term) => Err(reason),
+            }
+        };
+        let slot = match self.wait_for(acquire).await {
             Waited::Ready(Ok(slot)) => slot,
             Waited::Ready(Err(reason)) => {
                 let detail = format!("queue of upstream {}", self.request.upstream);
