--- a/src/decide/routing.rs
+++ b/src/decide/routing.rs
@@ -4,6 +4,10 @@
 
 use crate::model::{ids, log_position, upstream_spec, upstream_state};
 
+/// Wait for a slot that a read accepts at a replica in its own data centre before it goes to another
+/// data centre. It is the round trip between data centres.
+const REMOTE_COST: time::Duration = time::Duration::from_millis(3);
+
 /// How far an upstream can be reached, best first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum UpstreamReach {
@@ -87,7 +91,21 @@
     data_centre: &str,
     avoid: &[ids::UpstreamId],
 ) -> Option<RouteChoice> {
-    views
+    route_read_in_turn(views, floor, data_centre, avoid, 0)
+}
+
+/// Like [`route_read`]; `turn` counts the reads, so that replicas which are equally good take turns.
+/// Without turns, all reads between two reports of a pool went to the same replica and to its slots
+/// only.
+#[must_use]
+pub fn route_read_in_turn(
+    views: &[UpstreamView],
+    floor: log_position::LogPosition,
+    data_centre: &str,
+    avoid: &[ids::UpstreamId],
+    turn: usize,
+) -> Option<RouteChoice> {
+    let mut candidates: Vec<_> = views
         .iter()
         .filter(|view| view.reach != UpstreamReach::Lost && !view.leaving)
         .filter(|view| !avoid.contains(&view.spec.upstream))
@@ -98,10 +116,21 @@
         })
         .map(|view| {
             let remote = view.spec.data_centre != data_centre;
-            ((view.reach, remote, view.wait, &view.spec.upstream), view)
+            // A full local replica is worse than an idle one a few milliseconds away.
+            let far = if remote {
+                REMOTE_COST
+            } else {
+                time::Duration::ZERO
+            };
+            ((view.reach, view.wait + far), remote, view)
         })
-        .min_by_key(|(rank, _)| *rank)
-        .map(|((_, remote, _, _), view)| RouteChoice {
+        .collect();
+    let first = turn.checked_rem(candidates.len())?;
+    candidates.rotate_left(first);
+    candidates
+        .into_iter()
+        .min_by_key(|(rank, _, _)| *rank)
+        .map(|(_, remote, view)| RouteChoice {
             upstream: view.spec.upstream.clone(),
             term: None,
             reason: if remote {
--- a/src/entry/route.rs
+++ b/src/entry/route.rs
@@ -103,6 +103,7 @@
     ) -> Result<(routing::RouteChoice, routing::UpstreamView), RouteFailure> {
         let board = sync::Arc::clone(&self.board);
         let mut changes = board.subscribe();
+        let turn = usize::from(rand::random::<u16>());
         let fallback_at = self.context.now() + self.context.settings.limits.replica_wait;
         loop {
             changes.mark_unchanged();
@@ -112,7 +113,7 @@
                 (routing::route_write(&views), deadline)
             } else {
                 let data_centre = &self.context.settings.data_centre;
-                let replica = routing::route_read(&views, floor, data_centre, avoid);
+                let replica = routing::route_read_in_turn(&views, floor, data_centre, avoid, turn);
                 if replica.is_some() || now < fallback_at {
                     (replica, fallback_at)
                 } else {
