--- a/load/src/failover.rs
+++ b/load/src/failover.rs
@@ -12,19 +12,19 @@
 
 /// Slot time of each statement.
 const STATEMENT: time::Duration = time::Duration::from_millis(5);
-/// Writes a second: two thirds of what the three slots of a primary can run.
+/// Writes a second: four fifths of what the three slots of a primary were seen to run (500).
 const WRITE_RATE: f64 = 400.0;
-/// Reads a second: two thirds of what two replicas can run.
-const READ_RATE: f64 = 800.0;
+/// Reads a second: two thirds of what the one replica that is left after a failure can run.
+const READ_RATE: f64 = 350.0;
 /// Sessions that write; held writes keep theirs.
 const WRITERS: usize = 900;
 /// Sessions that read.
-const READERS: usize = 200;
+const READERS: usize = 400;
 /// Load before the failure.
 const BEFORE: time::Duration = time::Duration::from_secs(2);
 /// Load after the failure.
 const AFTER: time::Duration = time::Duration::from_secs(4);
-/// A silence among reads counts as a gap from this length on. The reads' mean distance is 1.25 ms.
+/// A silence among reads counts as a gap from this length on. The reads' mean distance is 2.9 ms.
 const READ_GAP_TARGET_MS: f64 = 100.0;
 
 /// How the primary fails.
@@ -311,6 +311,7 @@
             refused as f64,
             report::Target::AtMost(0.0),
         );
+        tally::print_texts(self.case);
         eprintln!("{}: writes after the failure by end: {ends:?}", self.case);
         gap
     }
--- a/load/src/swing.rs
+++ b/load/src/swing.rs
@@ -308,6 +308,7 @@
             beside.others() as f64,
             none,
         );
+        tally::print_texts(case);
         self.add_refusals(report, deployment)?;
         self.add_recovery(report);
         Ok(())
@@ -337,6 +338,15 @@
                 match record.end {
                     tally::RequestEnd::NotRun => {
                         refused.record(tally::RequestEnd::Answered, record.latency);
+                        if ran.contains_key(&format!("s{number}x-{}", record.number)) {
+                            eprintln!(
+                                "{case}: refused, but in a journal: s{number}x-{} write={} due={:?} latency={:?}",
+                                record.number,
+                                is_write(record.number),
+                                record.due,
+                                record.latency
+                            );
+                        }
                         untrue +=
                             u32::from(ran.contains_key(&format!("s{number}x-{}", record.number)));
                     }
--- a/load/src/tally.rs
+++ b/load/src/tally.rs
@@ -1,11 +1,29 @@
 //! [`LatencyTally`]: latencies and outcomes of one class of requests.
 
 use std::collections;
+use std::sync;
 use std::time;
 
 use hdrhistogram::Histogram;
 use serde::Serialize;
 
+/// Counts of error texts since they were last taken; a run prints them to show causes.
+static TEXTS: sync::Mutex<collections::BTreeMap<String, u64>> =
+    sync::Mutex::new(collections::BTreeMap::new());
+
+fn note(text: &str) {
+    let mut texts = TEXTS.lock().unwrap_or_else(sync::PoisonError::into_inner);
+    *texts.entry(text.to_owned()).or_default() += 1;
+}
+
+/// Prints and forgets the counts of error texts.
+pub fn print_texts(case: &str) {
+    let mut texts = TEXTS.lock().unwrap_or_else(sync::PoisonError::into_inner);
+    for (text, count) in std::mem::take(&mut *texts) {
+        eprintln!("{case}: {count} times {text}");
+    }
+}
+
 /// How a request ended, as its caller saw it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Hash)]
 #[serde(rename_all = "snake_case")]
@@ -27,8 +45,13 @@
     #[must_use]
     pub fn from_error(error: &tokio_postgres::Error) -> Self {
         let Some(state) = error.code() else {
+            note(&format!("none: {error}"));
             return Self::Unknown;
         };
+        let text = error
+            .as_db_error()
+            .map(tokio_postgres::error::DbError::message);
+        note(&format!("{}: {}", state.code(), text.unwrap_or_default()));
         match state.code() {
             "57P03" | "53300" | "53400" | "57P01" => Self::NotRun,
             "40003" => Self::Unknown,
