--- a/src/entry/route.rs
+++ b/src/entry/route.rs
@@ -6,7 +6,7 @@
 
 use crate::decide::{barrier, routing};
 use crate::entry::{batch, observer, session, unit};
-use crate::link::work_request;
+use crate::link::{work_reply, work_request};
 use crate::model::{ids, log_position, refusal_reason};
 
 /// Longest wait without a look at the tables; changes wake the wait earlier.
@@ -106,6 +106,7 @@
         let board = sync::Arc::clone(&self.board);
         board.note_use(self.context.now());
         let mut changes = board.subscribe();
+        let turn = usize::from(rand::random::<u16>());
         let fallback_at = self.context.now() + self.context.settings.limits.replica_wait;
         loop {
             changes.mark_unchanged();
@@ -115,7 +116,7 @@
                 (routing::route_write(&views, floor.term), deadline)
             } else {
                 let data_centre = &self.context.settings.data_centre;
-                let replica = routing::route_read(&views, floor, data_centre, avoid);
+                let replica = routing::route_read_in_turn(&views, floor, data_centre, avoid, turn);
                 if replica.is_some() || now < fallback_at {
                     (replica, fallback_at)
                 } else {
@@ -178,3 +179,12 @@
         }
     }
 }
+
+/// Words a pool's refusal for the caller.
+pub fn refusal_of(refusal: &work_reply::WorkRefusal, upstream: &str) -> RouteRefusal {
+    RouteRefusal {
+        reason: refusal.reason,
+        text: format!("not run: the pool refused the batch: {}", refusal.reason),
+        detail: format!("step=open peer={upstream} {}", refusal.detail),
+    }
+}
