--- a/src/entry/route.rs
+++ b/src/entry/route.rs
@@ -6,13 +6,13 @@
 
 use crate::decide::{barrier, routing};
 use crate::entry::{batch, observer, session, unit};
-use crate::link::{work_reply, work_request};
+use crate::link::work_request;
 use crate::model::{ids, log_position, refusal_reason};
 
 /// Longest wait without a look at the tables; changes wake the wait earlier.
 const CHECK_INTERVAL: time::Duration = time::Duration::from_millis(100);
 /// Pause after an observation that confirmed nothing.
-const OBSERVE_PAUSE: time::Duration = time::Duration::from_millis(10);
+pub const OBSERVE_PAUSE: time::Duration = time::Duration::from_millis(10);
 
 /// A refusal, with the words for the caller.
 #[derive(Debug)]
@@ -32,7 +32,7 @@
 pub type Cancelled<'a, 'b> = pin::Pin<&'a mut tokio::sync::futures::Notified<'b>>;
 
 impl session::CallerSession {
-    /// Returns the position that a read has to see.
+    /// Returns the position that a read, or a transaction that may read, has to see.
     pub(super) async fn read_floor(
         &mut self,
         batch: &batch::CallerBatch,
@@ -40,11 +40,13 @@
         mut cancelled: Cancelled<'_, '_>,
     ) -> Result<log_position::LogPosition, RouteFailure> {
         let board = sync::Arc::clone(&self.board);
-        let age = self.parameters.max_age.or_else(|| {
+        board.note_use(self.context.now());
+        let aged = self.parameters.max_age.or_else(|| {
             let tables = self.context.tables();
             let rule = tables.rules.read_rule(&self.database, &batch.tables);
             rule.map(|rule| rule.max_age)
         });
+        let age = aged.filter(|_| batch.access() == work_request::WorkAccess::Read);
         if let Some(age) = age {
             let now = self.context.now();
             let (floor, newest) = {
@@ -102,6 +104,7 @@
         mut cancelled: Cancelled<'_, '_>,
     ) -> Result<(routing::RouteChoice, routing::UpstreamView), RouteFailure> {
         let board = sync::Arc::clone(&self.board);
+        board.note_use(self.context.now());
         let mut changes = board.subscribe();
         let turn = usize::from(rand::random::<u16>());
         let fallback_at = self.context.now() + self.context.settings.limits.replica_wait;
@@ -110,7 +113,7 @@
             let views = board.views();
             let now = self.context.now();
             let (choice, wake_at) = if access == work_request::WorkAccess::Write {
-                (routing::route_write(&views), deadline)
+                (routing::route_write(&views, floor.term), deadline)
             } else {
                 let data_centre = &self.context.settings.data_centre;
                 let replica = routing::route_read_in_turn(&views, floor, data_centre, avoid, turn);
@@ -176,12 +179,3 @@
         }
     }
 }
-
-/// Words a pool's refusal for the caller.
-pub fn refusal_of(refusal: &work_reply::WorkRefusal, upstream: &str) -> RouteRefusal {
-    RouteRefusal {
-        reason: refusal.reason,
-        text: format!("not run: the pool refused the batch: {}", refusal.reason),
-        detail: format!("step=open peer={upstream} {}", refusal.detail),
-    }
-}
