--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -247,7 +247,7 @@
             unit::BatchEnd::Refused(refusal) => Ok(AttemptEnd::Retry(
                 retry_reason::RetryReason::Refused,
                 choice.upstream.clone(),
-                route::refusal_of(&refusal, &choice.upstream),
+                refusal_of(&refusal, &choice.upstream),
             )),
             unit::BatchEnd::Broken {
                 step,
@@ -490,3 +490,11 @@
         Ok(false)
     }
 }
+
+fn refusal_of(refusal: &work_reply::WorkRefusal, upstream: &str) -> route::RouteRefusal {
+    route::RouteRefusal {
+        reason: refusal.reason,
+        text: format!("not run: the pool refused the batch: {}", refusal.reason),
+        detail: format!("step=open peer={upstream} {}", refusal.detail),
+    }
+}
