--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -285,6 +285,8 @@
     ] {
         let frame = gossip::GossipFrame {
             pulses: Vec::new(),
+            beats: Vec::new(),
+            lacks: Vec::new(),
             rules_revision: 2,
             wants_tables: false,
             tables: None,
