--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -449,6 +449,14 @@
             "/groups",
             routing::get(async move || axum::Json(vec![group])),
         )
+        .route("/kv/rules/snapshot", {
+            let opened = opened.clone();
+            routing::get(async move || {
+                let mut opened = opened;
+                let _opened = opened.wait_for(|open| *open).await;
+                axum::http::StatusCode::NOT_FOUND
+            })
+        })
         .fallback(async move || {
             // The store is silent at first, while the lists are answered.
             let mut opened = opened;
