Draw on the retry budget only for attempts that may have reached an upstream

Cause: a pool refuses what queues behind a lost primary, and the entry sends it elsewhere. That drew on the retry budget, which does not refill while all callers wait, so the rest was refused at its deadline. Ruled out: the gap (889 ms against a deadline of 5 s) and a full queue (the refusals say unreachable). Change: retries of batches that no upstream has seen only back off. The refusal reason retry_budget was never used and is gone.

--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -120,7 +120,7 @@
             );
             if stays
                 || !self
-                    .wait_for_retry(&mut attempt, deadline, cancelled.as_mut())
+                    .wait_for_retry(reason, &mut attempt, deadline, cancelled.as_mut())
                     .await?
             {
                 return self.end_refused(refusal, cut_off).await;
@@ -139,6 +139,7 @@
     /// Waits until the batch may be sent again. Returns false if it may not within its deadline.
     async fn wait_for_retry(
         &mut self,
+        reason: retry_reason::RetryReason,
         attempt: &mut u32,
         deadline: time::Duration,
         mut cancelled: route::Cancelled<'_, '_>,
@@ -155,7 +156,7 @@
                 () = self.reader.gone() => return Err(unit::CallerGone),
             }
             let now = self.context.now();
-            if self.context.budget(self.number).take_retry(now) {
+            if !reason.reached_upstream() || self.context.budget(self.number).take_retry(now) {
                 return Ok(true);
             }
         }
--- a/src/model/refusal_reason.rs
+++ b/src/model/refusal_reason.rs
@@ -39,8 +39,6 @@
     QueueFull,
     /// The deadline passed or cannot be met.
     Deadline,
-    /// The retry budget is used up.
-    RetryBudget,
     /// The statement needs session state that a pooled connection cannot keep.
     Unsupported,
     /// A product parameter has a value that is not valid.
@@ -75,7 +73,7 @@
             | Self::Unreachable
             | Self::NotReady => sql_state::CANNOT_CONNECT_NOW,
             Self::QueueFull => sql_state::TOO_MANY_CONNECTIONS,
-            Self::Deadline | Self::RetryBudget => sql_state::LIMIT_EXCEEDED,
+            Self::Deadline => sql_state::LIMIT_EXCEEDED,
             Self::Unsupported => sql_state::FEATURE_NOT_SUPPORTED,
             Self::Parameter => sql_state::INVALID_PARAMETER,
             Self::Login => sql_state::INVALID_PASSWORD,
--- a/src/model/retry_reason.rs
+++ b/src/model/retry_reason.rs
@@ -30,3 +30,16 @@
     /// The upstream rejected a write because it is not the primary.
     ReadOnlyUpstream,
 }
+
+impl RetryReason {
+    /// Tells whether the attempt before may have reached an upstream. Only such retries add to the
+    /// load of upstreams and so draw on the retry budget; the others are new routes for work that
+    /// nobody has seen, such as writes that had queued behind a primary that was lost.
+    #[must_use]
+    pub const fn reached_upstream(self) -> bool {
+        match self {
+            Self::Refused | Self::PoolUnreachable => false,
+            Self::LinkBroken | Self::UpstreamBroken | Self::ReadOnlyUpstream => true,
+        }
+    }
+}
--- a/tests/acknowledged_writes.rs
+++ b/tests/acknowledged_writes.rs
@@ -61,6 +61,39 @@
     judge(&env, load).await;
 }
 
+/// Guards against refusing writes that had queued behind a frozen primary: nobody has seen them, so
+/// they wait for the next one, also when they are more than the retry budget has.
+#[tokio::test(flavor = "multi_thread")]
+async fn writes_queued_behind_a_frozen_primary_are_held() {
+    const WRITES: usize = 60;
+    let limits = "write_deadline = \"40s\"\nsilence = \"5s\"";
+    let env = proof::start(plan(limits)).await;
+    let (term, primary) = proof::primary(&env);
+    let mut clients = Vec::new();
+    for _ in 0..WRITES {
+        clients.push(proof::connect(&env, 1, "").await.expect("connect"));
+    }
+    env.signal(&primary, "STOP").expect("stop");
+    let writes =
+        clients
+            .iter()
+            .enumerate()
+            .map(|(number, client)| async move {
+                proof::insert(client, &format!("queued-{number}")).await
+            });
+    let told = futures::future::join_all(writes).await;
+    proof::next_primary(&env, term).await;
+    env.signal(&primary, "CONT").expect("cont");
+    let refused: Vec<_> = told
+        .iter()
+        .filter(|told| !told.is_done() && !told.is("40003"))
+        .collect();
+    assert!(refused.is_empty(), "{refused:?}");
+    // What filled the frozen primary's slots is all that may be unknown.
+    let unknown = told.iter().filter(|told| told.is("40003")).count();
+    assert!(unknown <= 3, "{unknown} of {WRITES} are unknown");
+}
+
 async fn cut_one_way(rule: FlowRule) {
     let (env, load) = start().await;
     let (term, primary) = proof::primary(&env);
