--- a/src/bin/persimmon-entry.rs
+++ b/src/bin/persimmon-entry.rs
@@ -1,5 +1,5 @@
-//! `persimmon-entry`: accepts callers and routes their statements.
+//! Accepts callers and routes their statements.
 
 fn main() -> std::process::ExitCode {
-    persimmontack::entry::run().into()
+    persimmontack::entry::run()
 }
--- /dev/null
+++ b/src/daemon.rs
@@ -0,0 +1,198 @@
+//! What the three daemons share: command line, settings file, listeners and exit code.
+
+use std::io;
+use std::net;
+use std::path;
+use std::process;
+
+use error_stack::ResultExt;
+use gumdrop::Options;
+
+use crate::{event, exit_code, health, shutdown};
+
+/// Names a daemon in its help and its errors.
+#[derive(Clone, Copy, Debug)]
+pub struct DaemonProgram {
+    /// Name of the program.
+    pub name: &'static str,
+    /// What it does, in one sentence.
+    pub summary: &'static str,
+    /// Sample of its settings.
+    pub sample: &'static str,
+}
+
+/// What failed while a daemon started.
+#[derive(Clone, Debug, PartialEq, Eq, derive_more::Display, derive_more::Error)]
+pub enum StartError {
+    /// The command line is not valid.
+    #[display("{_0}; try --help")]
+    Usage(#[error(not(source))] String),
+    /// The settings file cannot be read or is not valid.
+    #[display("settings {file}: {problem}")]
+    Settings {
+        /// The file.
+        file: String,
+        /// The key, its value and what was expected.
+        problem: String,
+    },
+    /// A listener cannot be bound.
+    #[display("cannot listen on {what} = {address}")]
+    Bind {
+        /// Key of the listener in the settings.
+        what: &'static str,
+        /// Its address.
+        address: net::SocketAddr,
+    },
+    /// The runtime or the signal handlers cannot be set up.
+    #[display("cannot start the runtime")]
+    Runtime,
+}
+
+impl StartError {
+    const fn exit_code(&self) -> exit_code::ExitCode {
+        match self {
+            Self::Usage(_) => exit_code::ExitCode::Usage,
+            Self::Settings { .. } => exit_code::ExitCode::Invalid,
+            Self::Bind { .. } | Self::Runtime => exit_code::ExitCode::Failure,
+        }
+    }
+}
+
+#[derive(Debug, Options)]
+struct DaemonOptions {
+    /// Settings file (TOML).
+    #[options(meta = "FILE")]
+    config: Option<path::PathBuf>,
+    /// Check the settings and exit.
+    #[options(no_short)]
+    check: bool,
+    /// Print this help.
+    help: bool,
+    /// Print the version.
+    #[options(short = "V")]
+    version: bool,
+}
+
+/// Runs a daemon from its command line to its exit code. `parse` checks the text of its settings,
+/// and `serve` runs until the shutdown.
+pub fn run<S, F>(
+    program: &DaemonProgram,
+    parse: impl FnOnce(&str) -> Result<S, String>,
+    serve: impl FnOnce(S, shutdown::ShutdownSignal) -> F,
+) -> process::ExitCode
+where
+    F: Future<Output = Result<(), error_stack::Report<StartError>>>,
+{
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    match start(program, &arguments, parse, serve) {
+        Ok(()) => exit_code::ExitCode::Success.into(),
+        Err(report) => {
+            // The alternate form is one line with the chain of causes.
+            eprintln!("{}: {report:#}", program.name);
+            report.current_context().exit_code().into()
+        }
+    }
+}
+
+fn start<S, F>(
+    program: &DaemonProgram,
+    arguments: &[String],
+    parse: impl FnOnce(&str) -> Result<S, String>,
+    serve: impl FnOnce(S, shutdown::ShutdownSignal) -> F,
+) -> Result<(), error_stack::Report<StartError>>
+where
+    F: Future<Output = Result<(), error_stack::Report<StartError>>>,
+{
+    let options = DaemonOptions::parse_args_default(arguments)
+        .map_err(|error| StartError::Usage(error.to_string()))?;
+    if options.help {
+        print!("{}", help_text(program));
+        return Ok(());
+    }
+    if options.version {
+        println!("{} {}", program.name, env!("CARGO_PKG_VERSION"));
+        return Ok(());
+    }
+    let Some(path) = options.config else {
+        return Err(StartError::Usage("--config FILE is missing".to_owned()).into());
+    };
+    let settings = load(&path, parse)?;
+    if options.check {
+        println!("{}: settings are valid", path.display());
+        return Ok(());
+    }
+    event::init();
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+        .change_context(StartError::Runtime)?;
+    runtime.block_on(async {
+        let signal =
+            shutdown::ShutdownSignal::from_process().change_context(StartError::Runtime)?;
+        serve(settings, signal).await
+    })
+}
+
+fn load<S>(
+    path: &path::Path,
+    parse: impl FnOnce(&str) -> Result<S, String>,
+) -> Result<S, StartError> {
+    let file = path.display().to_string();
+    std::fs::read_to_string(path)
+        .map_err(|error| error.to_string())
+        .and_then(|text| parse(&text))
+        .map_err(|problem| StartError::Settings { file, problem })
+}
+
+fn help_text(program: &DaemonProgram) -> String {
+    let DaemonProgram {
+        name,
+        summary,
+        sample,
+    } = program;
+    format!(
+        "{name} {summary}\n\nUsage: {name} --config FILE [--check]\n\n{}\n\nExamples:\n  \
+         {name} --config /etc/persimmontack/settings.toml\n      run with these settings\n  \
+         {name} --config {sample} --check\n      check the settings and exit\n  \
+         RUST_LOG=debug {name} --config {sample}\n      log more\n",
+        DaemonOptions::usage()
+    )
+}
+
+/// Binds a listener and logs its address.
+///
+/// # Errors
+///
+/// Fails if the address cannot be bound.
+pub async fn bind(
+    what: &'static str,
+    address: net::SocketAddr,
+) -> Result<tokio::net::TcpListener, error_stack::Report<StartError>> {
+    let bound = async {
+        let listener = tokio::net::TcpListener::bind(address).await?;
+        let local = listener.local_addr()?;
+        Ok::<_, io::Error>((listener, local))
+    };
+    let (listener, local) = bound
+        .await
+        .change_context(StartError::Bind { what, address })?;
+    event::info("listening", &[("what", &what), ("address", &local)]);
+    Ok(listener)
+}
+
+/// Starts the health endpoint and logs its address.
+///
+/// # Errors
+///
+/// Fails if the address cannot be bound.
+pub async fn start_health(
+    address: net::SocketAddr,
+    flag: health::ReadyFlag,
+) -> Result<(), error_stack::Report<StartError>> {
+    let what = "health";
+    let bound = health::start(address, flag)
+        .await
+        .change_context(StartError::Bind { what, address })?;
+    event::info("listening", &[("what", &what), ("address", &bound)]);
+    Ok(())
+}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -10,7 +10,6 @@
 mod forward;
 mod local;
 mod observer;
-mod options;
 mod pool_link;
 mod program;
 mod route;
--- a/src/keeper/daemon.rs
+++ b/src/keeper/daemon.rs
@@ -4,6 +4,7 @@
 use std::time;
 
 use crate::blackboard::control_board;
+use crate::daemon;
 use crate::dial;
 use crate::event;
 use crate::health;
@@ -16,35 +17,21 @@
 use crate::shutdown;
 
 /// Name of the program.
-pub const PROGRAM: &str = "persimmon-keeper";
+pub(super) const PROGRAM: &str = "persimmon-keeper";
 
 /// Runs a keeper until the shutdown.
 ///
 /// # Errors
 ///
-/// Fails with a text that names the listener if one cannot be bound.
+/// Fails if a listener cannot be bound.
 pub async fn run(
     settings: settings::KeeperSettings,
     shutdown: shutdown::ShutdownSignal,
-) -> Result<(), String> {
+) -> Result<(), error_stack::Report<daemon::StartError>> {
     let settings = sync::Arc::new(settings);
     let ready = health::ReadyFlag::default();
-    let health_address = health::start(settings.health, ready.clone())
-        .await
-        .map_err(|error| format!("health = {:?}: {error}", settings.health.to_string()))?;
-    event::info(
-        "listening",
-        &[("what", &"health"), ("address", &health_address)],
-    );
-    let bind_error = |error| format!("link = {:?}: {error}", settings.link.to_string());
-    let listener = tokio::net::TcpListener::bind(settings.link)
-        .await
-        .map_err(bind_error)?;
-    let link_address = listener.local_addr().map_err(bind_error)?;
-    event::info(
-        "listening",
-        &[("what", &"link"), ("address", &link_address)],
-    );
+    daemon::start_health(settings.health, ready.clone()).await?;
+    let listener = daemon::bind("link", settings.link).await?;
 
     let dialer = dial::TcpDialer {
         source: settings.source,
--- a/src/keeper/mod.rs
+++ b/src/keeper/mod.rs
@@ -7,7 +7,6 @@
 pub mod group_supervisor;
 pub mod group_worker;
 pub mod lease_task;
-pub mod options;
 pub mod platform_poll;
 pub mod prober;
 pub mod rules_watch;
--- a/src/keeper/settings.rs
+++ b/src/keeper/settings.rs
@@ -133,16 +133,6 @@
 }
 
 impl KeeperSettings {
-    /// Reads a settings file.
-    ///
-    /// # Errors
-    ///
-    /// Returns a text that names the file, the place, and what was expected there.
-    pub fn load(path: &str) -> Result<Self, String> {
-        let text = std::fs::read_to_string(path).map_err(|error| format!("{path}: {error}"))?;
-        Self::parse(&text).map_err(|error| format!("{path}: {error}"))
-    }
-
     /// Parses and checks the text of a settings file.
     ///
     /// # Errors
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod blackboard;
 pub mod counters;
 pub mod ctl;
+pub mod daemon;
 pub mod decide;
 pub mod dial;
 pub mod entry;
--- a/src/pool/daemon.rs
+++ b/src/pool/daemon.rs
@@ -1,38 +1,29 @@
 //! Starts and stops `persimmon-pool`.
 
-use std::net;
 use std::sync;
 use std::time;
 
 use crate::link::{hello, server, stream_kind};
 use crate::pool::{feed, pool_settings, postgres_edge, tables_client, upstream_table, work};
-use crate::{dial, event, exit_code, health, shutdown};
+use crate::{daemon, dial, event, health, shutdown};
 
 /// Runs the pool until it is told to stop.
 ///
 /// # Errors
 ///
-/// Returns a text that names the step that failed.
-pub async fn run(settings: pool_settings::PoolSettings) -> Result<exit_code::ExitCode, String> {
-    let signal = shutdown::ShutdownSignal::from_process()
-        .map_err(|error| format!("cannot handle signals: {error}"))?;
+/// Fails if a listener cannot be bound.
+pub async fn run(
+    settings: pool_settings::PoolSettings,
+    signal: shutdown::ShutdownSignal,
+) -> Result<(), error_stack::Report<daemon::StartError>> {
     let settings = sync::Arc::new(settings);
     let dialer = dial::TcpDialer {
         source: settings.source,
         timeout: settings.limits.connect(),
     };
     let ready = health::ReadyFlag::default();
-    let health_address = health::start(settings.health, ready.clone())
-        .await
-        .map_err(|error| format!("cannot listen on health = {}: {error}", settings.health))?;
-    announce("health", health_address);
-    let listener = tokio::net::TcpListener::bind(settings.link)
-        .await
-        .map_err(|error| format!("cannot listen on link = {}: {error}", settings.link))?;
-    let link_address = listener
-        .local_addr()
-        .map_err(|error| format!("cannot listen on link = {}: {error}", settings.link))?;
-    announce("link", link_address);
+    daemon::start_health(settings.health, ready.clone()).await?;
+    let listener = daemon::bind("link", settings.link).await?;
     let edge = sync::Arc::new(postgres_edge::PostgresEdge::new(
         dialer,
         settings.upstream.clone(),
@@ -64,11 +55,7 @@
     event::info("stopped", &[("units_cut_off", &idle.is_err())]);
     server.abort();
     tables.abort();
-    Ok(exit_code::ExitCode::Success)
-}
-
-fn announce(what: &str, address: net::SocketAddr) {
-    event::info("listening", &[("what", &what), ("address", &address)]);
+    Ok(())
 }
 
 async fn serve(table: sync::Arc<upstream_table::UpstreamTable>, mut stream: server::PeerStream) {
--- a/src/pool/pool_settings.rs
+++ b/src/pool/pool_settings.rs
@@ -1,8 +1,6 @@
 //! [`PoolSettings`]: the settings file of `persimmon-pool`.
 
-use std::fs;
 use std::net;
-use std::path;
 use std::time;
 
 use serde::Deserialize;
@@ -103,17 +101,6 @@
 }
 
 impl PoolSettings {
-    /// Reads and checks a settings file.
-    ///
-    /// # Errors
-    ///
-    /// Returns a text that names the file, the key, its value and what was expected.
-    pub fn load(path: &path::Path) -> Result<Self, String> {
-        let text = fs::read_to_string(path)
-            .map_err(|error| format!("cannot read settings {}: {error}", path.display()))?;
-        Self::parse(&text).map_err(|error| format!("settings {}: {error}", path.display()))
-    }
-
     /// Parses and checks the text of a settings file.
     ///
     /// # Errors
