--- a/src/pool/batch_run.rs
+++ b/src/pool/batch_run.rs
@@ -81,7 +81,7 @@
         // ended. The connection that it names must not serve another unit by then.
         let mut cancel_sent = false;
         let mut probe = None;
-        let mut suspected = false;
+        let mut next_probe = sent_at;
         let tick = tokio::time::sleep(CHECK_INTERVAL);
         tokio::pin!(tick);
         loop {
@@ -129,6 +129,8 @@
                         let cause = "silent while a fresh connection answers";
                         return self.broken("receive", &cause);
                     }
+                    // The probe itself may have met a passing fault, so it is made again.
+                    next_probe = tokio::time::Instant::now() + SUSPECT_AFTER;
                 }
                 Step::Tick => {
                     let now = tokio::time::Instant::now();
@@ -149,8 +151,7 @@
                         }
                         _ => {}
                     }
-                    if !suspected && self.is_suspect(silence) {
-                        suspected = true;
+                    if probe.is_none() && now >= next_probe && self.is_suspect(silence) {
                         probe = Some(tokio::spawn(probe_upstream(sync::Arc::clone(
                             self.upstream,
                         ))));
--- a/standins/src/fault_link.rs
+++ b/standins/src/fault_link.rs
@@ -14,6 +14,11 @@
 /// Chunks in flight in each direction while a delay is in force; more hold the sender back.
 const CHUNKS_IN_FLIGHT: usize = 64;
 
+/// Time after which the target's side of a silenced connection closes, as TCP keepalive does on an
+/// upstream that is set up as `docs/operators.md` says. Without it the dead connections used up the
+/// upstream's limit for the rest of a run.
+const TARGET_KEEPALIVE: time::Duration = time::Duration::from_secs(10);
+
 /// Which bytes pass. Connections stay open in all cases.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum FlowRule {
@@ -207,17 +212,24 @@
     // Without it the link would add delays of its own; a failure leaves it only slower.
     let _client = linked.set_tcp_nodelay(true);
     let _target = upstream.set_nodelay(true);
-    let (client_reader, client_writer) = socket.into_split();
-    let (target_reader, target_writer) = upstream.into_split();
+    let (mut client_reader, mut client_writer) = socket.into_split();
+    let (mut target_reader, mut target_writer) = upstream.into_split();
     let mut cut = gate.rules.clone();
+    let cut = async { cut.wait_for(|table| table.rule(source).cut).await.is_ok() };
+    tokio::pin!(cut);
     let ended = tokio::select! {
         () = async {
             tokio::join!(
-                pump(client_reader, target_writer, gate.clone(), true),
-                pump(target_reader, client_writer, gate.clone(), false),
+                pump(&mut client_reader, &mut target_writer, gate.clone(), true),
+                pump(&mut target_reader, &mut client_writer, gate.clone(), false),
             );
         } => return,
-        ended = cut.wait_for(|table| table.rule(source).cut) => ended.is_ok(),
+        () = gate.silent_for(TARGET_KEEPALIVE) => {
+            // The client's side stays open and silent.
+            drop((target_reader, target_writer));
+            cut.await
+        }
+        ended = &mut cut => ended,
     };
     log::debug!("event=link_cut source={source} connection={number} by_rule={ended}");
 }
@@ -267,14 +279,26 @@
         }
     }
 
+    /// Completes once the connection has been silenced for `lasting`.
+    async fn silent_for(&self, lasting: time::Duration) {
+        let mut rules = self.rules.clone();
+        let silent = |table: &RuleTable| table.is_silent(self.source, self.number);
+        let dropped = rules.wait_for(silent).await.is_err();
+        if dropped {
+            // The link is being dropped, which ends this task.
+            std::future::pending::<()>().await;
+        }
+        tokio::time::sleep(lasting).await;
+    }
+
     fn delay(&self) -> time::Duration {
         self.rules.borrow().rule(self.source).delay
     }
 }
 
 async fn pump(
-    mut reader: tokio::net::tcp::OwnedReadHalf,
-    mut writer: tokio::net::tcp::OwnedWriteHalf,
+    reader: &mut tokio::net::tcp::OwnedReadHalf,
+    writer: &mut tokio::net::tcp::OwnedWriteHalf,
     mut gate: LinkGate,
     to_target: bool,
 ) {
