--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -49,7 +49,9 @@
 }
 
 impl StartError {
-    const fn exit_code(&self) -> exit_code::ExitCode {
+    /// Returns the exit code of a program that could not start for this reason.
+    #[must_use]
+    pub const fn exit_code(&self) -> exit_code::ExitCode {
         match self {
             Self::Usage(_) => exit_code::ExitCode::Usage,
             Self::Settings { .. } => exit_code::ExitCode::Invalid,
--- a/src/event.rs
+++ b/src/event.rs
@@ -8,8 +8,14 @@
 
 /// Sets up the logger. The level comes from `RUST_LOG` and is `info` by default.
 pub fn init() {
+    init_with(env_logger::Target::Stderr);
+}
+
+/// Sets up the logger with lines that go to `target`.
+pub fn init_with(target: env_logger::Target) {
     let environment = env_logger::Env::default().default_filter_or("info");
     env_logger::Builder::from_env(environment)
+        .target(target)
         .format(|buffer, record| {
             use std::io::Write as _;
             writeln!(
--- /dev/null
+++ b/src/node/answers.rs
@@ -0,0 +1,131 @@
+//! What upstreams answer, and what callers are told.
+
+use bytes::Bytes;
+
+use crate::model::log_position;
+
+/// Where a session or a connection stands.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum TransactionState {
+    /// Outside a transaction.
+    #[default]
+    Idle,
+    /// In a transaction.
+    Open,
+    /// In a transaction that failed and can only be ended.
+    Failed,
+}
+
+/// Why a statement has no result.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, derive_more::Display)]
+#[display(rename_all = "snake_case")]
+pub enum ErrorCode {
+    /// Not run: no slot in time.
+    Busy,
+    /// Not kept: the transaction was rolled back.
+    Aborted,
+    /// Not run: the log lacks the wanted position.
+    Lagging,
+    /// Not run: the upstream is not the primary.
+    ReadOnly,
+    /// Not run: another upstream answers at the address.
+    Misrouted,
+    /// Not run: the upstream has all the connections it allows.
+    TooMany,
+    /// It ran and failed.
+    Failed,
+    /// Not run: no such prepared statement.
+    NoStatement,
+    /// It may have run; no answer came in time.
+    Timeout,
+    /// It may have run; its outcome cannot be known.
+    Unknown,
+    /// No such database.
+    NoDatabase,
+    /// The message is too long.
+    TooLong,
+    /// The message breaks the protocol or does not fit the state.
+    Malformed,
+}
+
+/// An error with the words that explain it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StatementError {
+    /// The reason.
+    pub code: ErrorCode,
+    /// An explanation for people.
+    pub text: Bytes,
+}
+
+impl StatementError {
+    /// Creates an error.
+    pub fn new(code: ErrorCode, text: impl Into<Bytes>) -> Self {
+        Self {
+            code,
+            text: text.into(),
+        }
+    }
+}
+
+/// The whole answer of an upstream to one command.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UpstreamAnswer {
+    /// Rows, unchanged.
+    pub rows: Vec<Bytes>,
+    /// The upstream's signature, or why there is no result.
+    pub result: Result<Bytes, StatementError>,
+    /// Where the connection stands now.
+    pub state: TransactionState,
+    /// Position that the upstream has applied.
+    pub position: Option<log_position::LogPosition>,
+}
+
+impl UpstreamAnswer {
+    /// Returns the reason for the failure, if it failed.
+    #[must_use]
+    pub fn error_code(&self) -> Option<ErrorCode> {
+        self.result.as_ref().err().map(|error| error.code)
+    }
+}
+
+/// What a caller is told about one request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CallerAnswer {
+    /// Rows, unchanged.
+    pub rows: Vec<Bytes>,
+    /// The upstream's signature, `None` for what the node answers itself, or an error.
+    pub result: Result<Option<Bytes>, StatementError>,
+    /// Where the session stands now.
+    pub state: TransactionState,
+}
+
+impl CallerAnswer {
+    /// Creates the answer to a statement that the node handled itself.
+    #[must_use]
+    pub const fn local(state: TransactionState) -> Self {
+        Self {
+            rows: Vec::new(),
+            result: Ok(None),
+            state,
+        }
+    }
+
+    /// Creates an error.
+    pub fn error(code: ErrorCode, text: impl Into<Bytes>, state: TransactionState) -> Self {
+        Self {
+            rows: Vec::new(),
+            result: Err(StatementError::new(code, text)),
+            state,
+        }
+    }
+
+    /// Passes an upstream's answer on to a session that stands at `state`.
+    #[must_use]
+    pub fn pass(answer: UpstreamAnswer, state: TransactionState) -> Self {
+        Self {
+            rows: answer.rows,
+            result: answer.result.map(Some),
+            state,
+        }
+    }
+}
--- /dev/null
+++ b/src/node/attempt.rs
@@ -0,0 +1,162 @@
+//! One attempt to run a statement at one upstream.
+
+use std::rc;
+
+use tokio::time::Instant;
+
+use crate::model::log_position;
+use crate::node::{
+    answers, board, boot_clock, command, edge, group, pool, request, session_state,
+    upstream_session,
+};
+
+/// Why a statement did not run at an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, derive_more::Display)]
+#[display(rename_all = "snake_case")]
+pub enum NotRun {
+    /// No upstream can serve it now.
+    NoUpstream,
+    /// No connection was free in time.
+    NoConnection,
+    /// The upstream was replaced, is gone or refuses connections.
+    Moved,
+    /// The upstream had no slot for it.
+    Busy,
+    /// The upstream's log lacks the wanted position.
+    Lagging,
+    /// The upstream is not the primary.
+    NotPrimary,
+    /// The connection had lost a prepared statement.
+    NotPrepared,
+}
+
+/// How an attempt ended.
+#[derive(Debug)]
+pub enum AttemptEnd {
+    /// The upstream's whole answer.
+    Answered(answers::UpstreamAnswer),
+    /// It has not run.
+    NotRun(NotRun),
+    /// It may have run: the connection broke, or what it read cannot be trusted.
+    Broken(String),
+}
+
+/// Tells whether an error of an upstream says that the statement has not run.
+#[must_use]
+pub const fn not_run(code: answers::ErrorCode) -> Option<NotRun> {
+    match code {
+        answers::ErrorCode::Busy => Some(NotRun::Busy),
+        answers::ErrorCode::Lagging => Some(NotRun::Lagging),
+        answers::ErrorCode::ReadOnly => Some(NotRun::NotPrimary),
+        answers::ErrorCode::NoStatement => Some(NotRun::NotPrepared),
+        answers::ErrorCode::Misrouted | answers::ErrorCode::TooMany => Some(NotRun::Moved),
+        answers::ErrorCode::Aborted
+        | answers::ErrorCode::Failed
+        | answers::ErrorCode::Timeout
+        | answers::ErrorCode::Unknown
+        | answers::ErrorCode::NoDatabase
+        | answers::ErrorCode::TooLong
+        | answers::ErrorCode::Malformed => None,
+    }
+}
+
+/// Why no connection could be had, as an outcome of an attempt.
+#[must_use]
+pub const fn no_connection(error: pool::AcquireError) -> NotRun {
+    match error {
+        pool::AcquireError::Late => NotRun::NoConnection,
+        pool::AcquireError::Moved => NotRun::Moved,
+    }
+}
+
+/// A read that may go to several upstreams.
+#[derive(Debug)]
+pub struct ReadOrder {
+    /// The request.
+    pub request: request::CallerRequest,
+    /// What the session has set up.
+    pub session: rc::Rc<session_state::SessionState>,
+    /// Order among waiting statements.
+    pub priority: u8,
+    /// When the attempt has to end.
+    pub limit: Instant,
+}
+
+/// Runs a read at an upstream whose log has to hold `floor`.
+pub async fn read_at<E: edge::NodeEdge>(
+    pool: rc::Rc<pool::UpstreamPool<E>>,
+    order: rc::Rc<ReadOrder>,
+    floor: log_position::LogPosition,
+) -> AttemptEnd {
+    let mut session = match pool.acquire(order.priority, order.limit).await {
+        Ok(session) => session,
+        Err(error) => return AttemptEnd::NotRun(no_connection(error)),
+    };
+    let Some(command) = session.set_up(&order.session, &order.request, Some(floor)) else {
+        return AttemptEnd::NotRun(NotRun::NotPrepared);
+    };
+    match session.exchange([&command]).await {
+        Ok([answer]) => finish_read(&pool, session, answer),
+        Err(error) => AttemptEnd::Broken(error.to_string()),
+    }
+}
+
+/// Runs a read at the primary and proves afterwards that it still led.
+pub async fn read_latest<E: edge::NodeEdge>(
+    pool: rc::Rc<pool::UpstreamPool<E>>,
+    group: rc::Rc<group::GroupState>,
+    order: rc::Rc<ReadOrder>,
+) -> AttemptEnd {
+    let mut session = match pool.acquire(order.priority, order.limit).await {
+        Ok(session) => session,
+        Err(error) => return AttemptEnd::NotRun(no_connection(error)),
+    };
+    let Some(command) = session.set_up(&order.session, &order.request, None) else {
+        return AttemptEnd::NotRun(NotRun::NotPrepared);
+    };
+    let begin = command::UpstreamCommand::Begin {
+        read_only: false,
+        floor: None,
+    };
+    let asked = boot_clock::now();
+    let commands = [&command, &begin, &command::UpstreamCommand::Rollback];
+    match session.exchange(commands).await {
+        Ok([answer, check, _end]) => {
+            if check.result.is_err() {
+                pool.release(session);
+                return AttemptEnd::NotRun(NotRun::NotPrimary);
+            }
+            if let Some(position) = check.position {
+                group.confirm(pool.upstream(), asked, position);
+            }
+            finish_read(&pool, session, answer)
+        }
+        Err(error) => AttemptEnd::Broken(error.to_string()),
+    }
+}
+
+fn finish_read<E: edge::NodeEdge>(
+    pool: &rc::Rc<pool::UpstreamPool<E>>,
+    session: upstream_session::UpstreamSession<E>,
+    answer: answers::UpstreamAnswer,
+) -> AttemptEnd {
+    pool.note_position(answer.position);
+    match answer.error_code().and_then(not_run) {
+        Some(NotRun::NotPrepared) => {
+            // The connection is not in the state that it should be in, so it is closed.
+            drop(session);
+            AttemptEnd::NotRun(NotRun::NotPrepared)
+        }
+        Some(reason) => {
+            if reason == NotRun::Lagging {
+                pool.note_lag(board::steady_now());
+            }
+            pool.release(session);
+            AttemptEnd::NotRun(reason)
+        }
+        None => {
+            pool.release(session);
+            AttemptEnd::Answered(answer)
+        }
+    }
+}
--- /dev/null
+++ b/src/node/board.rs
@@ -0,0 +1,343 @@
+//! [`NodeBoard`]: the tables that all tasks of a node share.
+
+use std::cell;
+use std::collections;
+use std::rc;
+use std::time;
+
+use tokio::sync::Notify;
+
+use crate::decide::{ownership, retry_budget};
+use crate::model::ids;
+use crate::node::{config, edge, group, journal, limits, pool, upstream_entry};
+
+thread_local! {
+    static START: tokio::time::Instant = tokio::time::Instant::now();
+}
+
+/// Returns the time since the start of the process, by the steady clock.
+#[must_use]
+pub fn steady_now() -> time::Duration {
+    START.with(tokio::time::Instant::elapsed)
+}
+
+/// The tables that all tasks of a node share.
+#[derive(Debug)]
+pub struct NodeBoard<E: edge::NodeEdge> {
+    /// Everything outside the node.
+    pub edge: E,
+    /// Name of the VM.
+    pub node: ids::VmId,
+    /// Data centre of the VM.
+    pub data_centre: ids::DataCentreId,
+    config: cell::RefCell<Option<rc::Rc<config::NodeConfig>>>,
+    pools: cell::RefCell<collections::BTreeMap<ids::UpstreamId, rc::Rc<pool::UpstreamPool<E>>>>,
+    groups: cell::RefCell<collections::BTreeMap<ids::GroupId, rc::Rc<group::GroupState>>>,
+    members: cell::RefCell<collections::BTreeSet<ids::VmId>>,
+    /// Bounds second attempts.
+    pub budget: cell::RefCell<retry_budget::RetryBudget>,
+    /// Wakes what waits for a change of the tables.
+    pub changed: Notify,
+    /// Whether the store answered last time.
+    pub store_up: cell::Cell<bool>,
+    /// Sessions that are open.
+    pub sessions: cell::Cell<u32>,
+}
+
+impl<E: edge::NodeEdge> NodeBoard<E> {
+    /// Creates empty tables.
+    #[must_use]
+    pub fn new(edge: E, node: ids::VmId, data_centre: ids::DataCentreId) -> rc::Rc<Self> {
+        rc::Rc::new(Self {
+            edge,
+            node,
+            data_centre,
+            config: cell::RefCell::default(),
+            pools: cell::RefCell::default(),
+            groups: cell::RefCell::default(),
+            members: cell::RefCell::default(),
+            budget: cell::RefCell::default(),
+            changed: Notify::new(),
+            store_up: cell::Cell::default(),
+            sessions: cell::Cell::default(),
+        })
+    }
+
+    /// Returns the configuration in force, once there is one.
+    #[must_use]
+    pub fn config(&self) -> Option<rc::Rc<config::NodeConfig>> {
+        self.config.borrow().clone()
+    }
+
+    /// Puts a configuration in force unless a newer one is. Returns whether it is a change.
+    pub fn apply_config(&self, config: config::NodeConfig) -> bool {
+        let current = self.config().map_or(0, |current| current.version);
+        if self.config.borrow().is_some() && config.version <= current {
+            return false;
+        }
+        journal::info(
+            "config_in_force",
+            &[
+                ("version", &config.version),
+                ("before", &current),
+                ("routes", &config.routes.len()),
+            ],
+        );
+        metrics::gauge!("persimmontack_config_version").set(u64_gauge(config.version));
+        *self.config.borrow_mut() = Some(rc::Rc::new(config));
+        self.changed.notify_waiters();
+        true
+    }
+
+    /// Takes over what the list says of an upstream.
+    pub fn apply_upstream(self: &rc::Rc<Self>, entry: upstream_entry::UpstreamEntry) {
+        let group = self.group(&entry.group);
+        let old = self.pool(&entry.upstream).map(|pool| pool.entry());
+        let reborn = old.as_ref().is_some_and(|old| {
+            old.incarnation != entry.incarnation
+                || old.address != entry.address
+                || old.group != entry.group
+        });
+        if reborn {
+            self.remove_upstream(&entry.upstream, "reborn");
+        }
+        let known = old.filter(|_| !reborn);
+        if known.as_ref() == Some(&entry) {
+            return;
+        }
+        journal::info(
+            "upstream_listed",
+            &[
+                ("upstream", &entry.upstream),
+                ("group", &entry.group),
+                ("primary", &entry.primary),
+                ("leaving", &entry.leaving),
+            ],
+        );
+        let was_primary = known.as_ref().is_some_and(|old| old.primary);
+        let became = entry.primary && !was_primary;
+        let resigned = was_primary && !entry.primary;
+        let upstream = entry.upstream.clone();
+        match self.pool(&upstream) {
+            Some(pool) => pool.set_entry(entry),
+            None => {
+                let pool = pool::UpstreamPool::new(rc::Rc::downgrade(self), entry);
+                self.pools.borrow_mut().insert(upstream.clone(), pool);
+            }
+        }
+        if became {
+            self.set_primary(&group, Some(&upstream), "listed");
+        } else if resigned && group.is_primary(&upstream) {
+            self.set_primary(&group, None, "resigned");
+        }
+        self.changed.notify_waiters();
+    }
+
+    /// Drops an upstream that is gone.
+    pub fn remove_upstream(&self, upstream: &str, reason: &str) {
+        let pool = self.pools.borrow_mut().remove(upstream);
+        let Some(pool) = pool else {
+            return;
+        };
+        journal::info(
+            "upstream_removed",
+            &[("upstream", &upstream), ("reason", &reason)],
+        );
+        pool.retire();
+        let group = self.group(&pool.read_entry(|entry| entry.group.clone()));
+        if group.is_primary(upstream) {
+            self.set_primary(&group, None, "removed");
+        }
+        self.changed.notify_waiters();
+    }
+
+    /// Takes an upstream, or none, as the primary of a group.
+    pub fn set_primary(&self, group: &group::GroupState, primary: Option<&str>, reason: &str) {
+        let before = group.primary();
+        if !group.set_primary(primary) {
+            return;
+        }
+        journal::info(
+            "primary_changed",
+            &[
+                ("group", &group.group),
+                ("before", &before.as_deref().unwrap_or("-")),
+                ("primary", &primary.unwrap_or("-")),
+                ("reason", &reason),
+            ],
+        );
+        metrics::counter!("persimmontack_primary_changes_total").increment(1);
+        // Writes that wait for the old primary have to look for the new one.
+        if let Some(pool) = before.and_then(|before| self.pool(&before)) {
+            pool.turn_away();
+        }
+        self.changed.notify_waiters();
+    }
+
+    /// Returns the pool of an upstream.
+    #[must_use]
+    pub fn pool(&self, upstream: &str) -> Option<rc::Rc<pool::UpstreamPool<E>>> {
+        self.pools.borrow().get(upstream).cloned()
+    }
+
+    /// Returns the pools of all upstreams.
+    #[must_use]
+    pub fn pools(&self) -> Vec<rc::Rc<pool::UpstreamPool<E>>> {
+        self.pools.borrow().values().cloned().collect()
+    }
+
+    /// Returns the pools of a group's upstreams.
+    #[must_use]
+    pub fn pools_of(&self, group: &str) -> Vec<rc::Rc<pool::UpstreamPool<E>>> {
+        self.pools
+            .borrow()
+            .values()
+            .filter(|pool| pool.read_entry(|entry| entry.group == group))
+            .cloned()
+            .collect()
+    }
+
+    /// Returns the pool of a group's primary.
+    #[must_use]
+    pub fn primary_pool(&self, group: &group::GroupState) -> Option<rc::Rc<pool::UpstreamPool<E>>> {
+        self.pool(&group.primary()?)
+    }
+
+    /// Returns the state of a group, which is created if it is new.
+    pub fn group(&self, group: &str) -> rc::Rc<group::GroupState> {
+        if let Some(state) = self.groups.borrow().get(group) {
+            return rc::Rc::clone(state);
+        }
+        let state = rc::Rc::new(group::GroupState::new(group.to_owned()));
+        self.groups
+            .borrow_mut()
+            .insert(group.to_owned(), rc::Rc::clone(&state));
+        state
+    }
+
+    /// Returns the states of all groups.
+    #[must_use]
+    pub fn groups(&self) -> Vec<rc::Rc<group::GroupState>> {
+        self.groups.borrow().values().cloned().collect()
+    }
+
+    /// Tells whether callers can be served: there is a configuration, and an upstream answers.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        let answers = |pool: &rc::Rc<pool::UpstreamPool<E>>| {
+            pool.health.get().heard().is_some() && !pool.is_suspect()
+        };
+        self.config().is_some() && self.pools.borrow().values().any(answers)
+    }
+
+    /// Adds a VM to the members.
+    pub fn add_member(&self, member: &str) {
+        if self.members.borrow_mut().insert(member.to_owned()) {
+            journal::info(
+                "member_joined",
+                &[("vm", &member), ("members", &self.member_count())],
+            );
+        }
+    }
+
+    /// Takes a VM out of the members.
+    pub fn remove_member(&self, member: &str) {
+        if self.members.borrow_mut().remove(member) {
+            journal::info(
+                "member_left",
+                &[("vm", &member), ("members", &self.member_count())],
+            );
+        }
+    }
+
+    /// Returns the members.
+    #[must_use]
+    pub fn members(&self) -> collections::BTreeSet<ids::VmId> {
+        self.members.borrow().clone()
+    }
+
+    /// Returns how many VMs share the connections of an upstream, this one included.
+    #[must_use]
+    pub fn member_count(&self) -> u32 {
+        let members = self.members.borrow();
+        let own = u32::from(!members.contains(&self.node));
+        (u32::try_from(members.len()).unwrap_or(u32::MAX) + own).max(1)
+    }
+
+    /// Returns how many connections this VM may have to each upstream of a group.
+    #[must_use]
+    pub fn connection_share(&self, group: &str) -> u32 {
+        let most = self
+            .config()
+            .and_then(|config| config.groups.get(group).copied())
+            .map_or(1, |limits| limits.max_connections);
+        (most.saturating_sub(limits::RESERVED_CONNECTIONS) / self.member_count()).max(1)
+    }
+
+    /// Returns this VM's place in the order in which VMs decide on a group.
+    #[must_use]
+    pub fn decision_rank(&self, group: &str) -> u32 {
+        let own = ownership::score(group, &self.node);
+        let before = self
+            .members
+            .borrow()
+            .iter()
+            .filter(|member| **member != self.node && ownership::score(group, member) > own)
+            .count();
+        u32::try_from(before).unwrap_or(u32::MAX)
+    }
+}
+
+/// Converts a count for a gauge.
+#[must_use]
+pub fn u64_gauge(value: u64) -> f64 {
+    // Versions and counts stay far below the 53 bits that a gauge holds exactly.
+    f64::from(u32::try_from(value).unwrap_or(u32::MAX))
+}
+
+/// Counts a request to an upstream while it is under way.
+#[derive(Debug)]
+pub struct RunningGuard<E: edge::NodeEdge> {
+    pool: rc::Rc<pool::UpstreamPool<E>>,
+    started: time::Duration,
+    ended: bool,
+}
+
+impl<E: edge::NodeEdge> RunningGuard<E> {
+    /// Notes that a request was sent.
+    #[must_use]
+    pub fn new(pool: rc::Rc<pool::UpstreamPool<E>>) -> Self {
+        let started = steady_now();
+        pool.note(|health| health.sent(started));
+        Self {
+            pool,
+            started,
+            ended: false,
+        }
+    }
+
+    /// Notes that a part of the answer came.
+    pub fn heard(&self) {
+        let now = steady_now();
+        self.pool.note(|health| {
+            health.answered(now, None);
+            health.sent(now);
+        });
+    }
+
+    /// Notes that the whole answer came. The time it took is learned if it is that of a statement.
+    pub fn finish(mut self, statement: bool) {
+        self.ended = true;
+        let now = steady_now();
+        let elapsed = statement.then(|| now.saturating_sub(self.started));
+        self.pool.note(|health| health.answered(now, elapsed));
+    }
+}
+
+impl<E: edge::NodeEdge> Drop for RunningGuard<E> {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.pool.note(|health| health.lost());
+        }
+    }
+}
--- /dev/null
+++ b/src/node/boot_clock.rs
@@ -0,0 +1,16 @@
+//! The clock for ages of positions: it goes on while a VM is suspended.
+//!
+//! The steady clock stands still during a suspension, and a position from before it would pass for
+//! a fresh one. See `docs/node.md`, "Clocks".
+
+use std::time;
+
+/// Returns the time since the start of the VM, with the time of suspensions.
+#[must_use]
+pub fn now() -> time::Duration {
+    let moment = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    // The clock counts from the start of the VM, so neither part is negative.
+    let seconds = u64::try_from(moment.tv_sec).unwrap_or(0);
+    let nanos = u32::try_from(moment.tv_nsec).unwrap_or(0);
+    time::Duration::new(seconds, nanos)
+}
--- /dev/null
+++ b/src/node/control.rs
@@ -0,0 +1,240 @@
+//! Keeps the tables in step with the store, and this VM's entry there alive.
+
+use std::collections;
+use std::rc;
+
+use tokio::time::Instant;
+
+use crate::model::ids;
+use crate::node::{board, edge, journal, limits, monitor};
+
+/// Follows the store as long as the node runs.
+pub async fn follow<E: edge::NodeEdge>(board: rc::Rc<board::NodeBoard<E>>) {
+    let mut tables = TableKeeper {
+        board,
+        watched: collections::BTreeSet::new(),
+        vanished: collections::BTreeMap::new(),
+    };
+    loop {
+        match tables.board.edge.read_all().await {
+            Ok(all) => {
+                tables.note_store(None);
+                tables.replace(&all);
+                tables.watch_from(all.revision).await;
+            }
+            Err(error) => {
+                tables.note_store(Some(&error));
+                tables.pause().await;
+            }
+        }
+    }
+}
+
+struct TableKeeper<E: edge::NodeEdge> {
+    board: rc::Rc<board::NodeBoard<E>>,
+    watched: collections::BTreeSet<ids::GroupId>,
+    /// Upstreams and VMs whose entries are gone, and when they are to be dropped. Entries may
+    /// vanish in an outage of the store and come back after it.
+    vanished: collections::BTreeMap<Vanished, Instant>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Vanished {
+    Upstream(ids::UpstreamId),
+    Member(ids::VmId),
+}
+
+impl<E: edge::NodeEdge> TableKeeper<E> {
+    /// Applies changes until the history is lost.
+    async fn watch_from(&mut self, mut revision: edge::StoreRevision) {
+        loop {
+            let wait = self.watch_wait();
+            let board = rc::Rc::clone(&self.board);
+            match board.edge.watch(revision, wait).await {
+                Ok(changes) => {
+                    self.note_store(None);
+                    revision = changes.revision.max(revision);
+                    for change in changes.changes {
+                        self.apply(change);
+                    }
+                }
+                Err(edge::StoreError::HistoryGone) => {
+                    journal::warn("store_history_gone", &[("revision", &revision)]);
+                    return;
+                }
+                Err(error) => {
+                    self.note_store(Some(&error));
+                    self.pause().await;
+                }
+            }
+            self.drop_vanished();
+        }
+    }
+
+    fn watch_wait(&self) -> std::time::Duration {
+        let now = Instant::now();
+        self.vanished
+            .values()
+            .map(|due| due.saturating_duration_since(now))
+            .min()
+            .map_or(limits::WATCH_WAIT, |due| due.min(limits::WATCH_WAIT))
+    }
+
+    async fn pause(&mut self) {
+        tokio::time::sleep(limits::STORE_PAUSE).await;
+        self.drop_vanished();
+    }
+
+    fn note_store(&self, error: Option<&edge::StoreError>) {
+        let up = error.is_none();
+        metrics::gauge!("persimmontack_store_up").set(if up { 1.0 } else { 0.0 });
+        if self.board.store_up.replace(up) == up {
+            return;
+        }
+        match error {
+            None => journal::info("store_regained", &[]),
+            Some(error) => journal::warn("store_lost", &[("reason", error)]),
+        }
+    }
+
+    /// Takes over everything that the store holds; what it does not hold any more has vanished.
+    fn replace(&mut self, all: &edge::ControlChanges) {
+        let mut upstreams = collections::BTreeSet::new();
+        let mut members = collections::BTreeSet::new();
+        for change in &all.changes {
+            match change {
+                edge::ControlChange::Upstream(entry) => {
+                    upstreams.insert(entry.upstream.clone());
+                }
+                edge::ControlChange::Member(vm) => {
+                    members.insert(vm.clone());
+                }
+                edge::ControlChange::Config(_)
+                | edge::ControlChange::UpstreamGone(_)
+                | edge::ControlChange::MemberGone(_)
+                | edge::ControlChange::Decision(..) => {}
+            }
+            self.apply(change.clone());
+        }
+        for pool in self.board.pools() {
+            if !upstreams.contains(pool.upstream()) {
+                self.apply(edge::ControlChange::UpstreamGone(pool.upstream().clone()));
+            }
+        }
+        for member in self.board.members() {
+            if !members.contains(&member) {
+                self.apply(edge::ControlChange::MemberGone(member));
+            }
+        }
+    }
+
+    fn apply(&mut self, change: edge::ControlChange) {
+        match change {
+            edge::ControlChange::Config(config) => {
+                self.board.apply_config(config);
+            }
+            edge::ControlChange::Upstream(entry) => {
+                self.vanished
+                    .remove(&Vanished::Upstream(entry.upstream.clone()));
+                let group = entry.group.clone();
+                self.board.apply_upstream(entry);
+                self.watch_group(group);
+            }
+            edge::ControlChange::UpstreamGone(upstream) => {
+                let leaving = self
+                    .board
+                    .pool(&upstream)
+                    .is_some_and(|pool| pool.read_entry(|entry| entry.leaving));
+                if leaving {
+                    self.board.remove_upstream(&upstream, "left");
+                } else {
+                    self.vanish(Vanished::Upstream(upstream));
+                }
+            }
+            edge::ControlChange::Member(vm) => {
+                self.vanished.remove(&Vanished::Member(vm.clone()));
+                self.board.add_member(&vm);
+            }
+            edge::ControlChange::MemberGone(vm) => self.vanish(Vanished::Member(vm)),
+            edge::ControlChange::Decision(group, revision, vm) => {
+                let group = self.board.group(&group);
+                if revision > group.decision() {
+                    journal::info(
+                        "decision_seen",
+                        &[
+                            ("group", &group.group),
+                            ("decision", &revision),
+                            ("vm", &vm),
+                        ],
+                    );
+                }
+                group.record_decision(revision, board::steady_now());
+            }
+        }
+    }
+
+    fn vanish(&mut self, what: Vanished) {
+        journal::info("entry_vanished", &[("entry", &format!("{what:?}"))]);
+        self.vanished
+            .entry(what)
+            .or_insert_with(|| Instant::now() + limits::STORE_RETURN);
+    }
+
+    fn drop_vanished(&mut self) {
+        let now = Instant::now();
+        // While the store is away, nothing is known to be gone.
+        if !self.board.store_up.get() {
+            for due in self.vanished.values_mut() {
+                *due = now + limits::STORE_RETURN;
+            }
+            return;
+        }
+        let board = &self.board;
+        self.vanished.retain(|what, due| {
+            if now < *due {
+                return true;
+            }
+            match what {
+                Vanished::Upstream(upstream) => board.remove_upstream(upstream, "vanished"),
+                Vanished::Member(member) => board.remove_member(member),
+            }
+            false
+        });
+    }
+
+    fn watch_group(&mut self, group: ids::GroupId) {
+        if self.watched.contains(&group) {
+            return;
+        }
+        let state = self.board.group(&group);
+        tokio::task::spawn_local(monitor::run(rc::Rc::clone(&self.board), state));
+        self.watched.insert(group);
+    }
+}
+
+/// Keeps this VM's entry in the store alive as long as the node runs.
+pub async fn stay_member<E: edge::NodeEdge>(board: rc::Rc<board::NodeBoard<E>>) {
+    let mut lease: Option<E::Lease> = None;
+    loop {
+        let result = match &lease {
+            Some(lease) => board.edge.renew(lease).await,
+            None => match board.edge.join(&board.node, limits::MEMBER_TTL).await {
+                Ok(joined) => {
+                    journal::info("membership_joined", &[("vm", &board.node)]);
+                    lease = Some(joined);
+                    Ok(())
+                }
+                Err(error) => Err(error),
+            },
+        };
+        if let Err(error) = result {
+            journal::warn("membership_failed", &[("reason", &error)]);
+            if error == edge::StoreError::LeaseEnded {
+                lease = None;
+                tokio::time::sleep(limits::STORE_PAUSE).await;
+                continue;
+            }
+        }
+        tokio::time::sleep(limits::MEMBER_RENEWAL).await;
+    }
+}
--- /dev/null
+++ b/src/node/group.rs
@@ -0,0 +1,205 @@
+//! [`GroupState`]: what a node knows about one group of upstreams.
+
+use std::cell;
+use std::time;
+
+use crate::decide::barrier;
+use crate::model::{ids, log_position};
+use crate::node::edge;
+
+/// A commit that waits for its answer.
+pub type CommitNumber = u64;
+
+/// What a node knows about one group of upstreams.
+#[derive(Debug)]
+pub struct GroupState {
+    /// The group.
+    pub group: ids::GroupId,
+    primary: cell::RefCell<Option<ids::UpstreamId>>,
+    history: cell::RefCell<barrier::ConfirmedHistory>,
+    newest: cell::Cell<Option<time::Duration>>,
+    acknowledged: cell::Cell<Option<log_position::LogPosition>>,
+    commits: cell::RefCell<Vec<(CommitNumber, time::Duration)>>,
+    next_commit: cell::Cell<CommitNumber>,
+    last_commit: cell::Cell<time::Duration>,
+    decision: cell::Cell<edge::StoreRevision>,
+    decided: cell::Cell<Option<time::Duration>>,
+    settled: cell::Cell<Option<time::Duration>>,
+    deciding: cell::Cell<bool>,
+    term: cell::Cell<ids::TermNumber>,
+}
+
+impl GroupState {
+    /// Creates the state of a group of which nothing is known.
+    #[must_use]
+    pub fn new(group: ids::GroupId) -> Self {
+        Self {
+            group,
+            primary: cell::RefCell::default(),
+            history: cell::RefCell::default(),
+            newest: cell::Cell::default(),
+            acknowledged: cell::Cell::default(),
+            commits: cell::RefCell::default(),
+            next_commit: cell::Cell::default(),
+            last_commit: cell::Cell::default(),
+            decision: cell::Cell::default(),
+            decided: cell::Cell::default(),
+            settled: cell::Cell::default(),
+            deciding: cell::Cell::default(),
+            term: cell::Cell::default(),
+        }
+    }
+
+    /// Returns the primary, if one is known.
+    #[must_use]
+    pub fn primary(&self) -> Option<ids::UpstreamId> {
+        self.primary.borrow().clone()
+    }
+
+    /// Tells whether `upstream` is taken as the primary.
+    #[must_use]
+    pub fn is_primary(&self, upstream: &str) -> bool {
+        self.primary.borrow().as_deref() == Some(upstream)
+    }
+
+    /// Takes another upstream, or none, as the primary. Returns whether that is a change.
+    ///
+    /// Positions of the one before are forgotten: a promotion may have dropped the end of its log.
+    pub fn set_primary(&self, primary: Option<&str>) -> bool {
+        if self.primary.borrow().as_deref() == primary {
+            return false;
+        }
+        *self.primary.borrow_mut() = primary.map(str::to_owned);
+        if primary.is_some() {
+            *self.history.borrow_mut() = barrier::ConfirmedHistory::default();
+            self.newest.set(None);
+            self.commits.borrow_mut().clear();
+        }
+        true
+    }
+
+    /// Records a position of the primary, which was proved to lead by a request sent at `asked`,
+    /// a time of [`crate::node::boot_clock`].
+    pub fn confirm(
+        &self,
+        upstream: &str,
+        asked: time::Duration,
+        position: log_position::LogPosition,
+    ) {
+        if !self.is_primary(upstream) {
+            return;
+        }
+        self.history.borrow_mut().record(asked, position);
+        self.newest.set(self.newest.get().max(Some(asked)));
+    }
+
+    /// Returns the lowest position that a read which arrived at `arrival` has to see if it accepts
+    /// `age`.
+    #[must_use]
+    pub fn floor(
+        &self,
+        arrival: time::Duration,
+        age: time::Duration,
+    ) -> Option<log_position::LogPosition> {
+        self.history.borrow().floor(arrival, age)
+    }
+
+    /// Returns when the newest position was asked for.
+    #[must_use]
+    pub fn newest(&self) -> Option<time::Duration> {
+        self.newest.get()
+    }
+
+    /// Notes that a commit was sent at `now`, a time of the steady clock.
+    pub fn commit_sent(&self, now: time::Duration) -> CommitNumber {
+        let number = self.next_commit.get();
+        self.next_commit.set(number + 1);
+        self.commits.borrow_mut().push((number, now));
+        number
+    }
+
+    /// Notes that a commit was answered; `position` is set if it was acknowledged.
+    pub fn commit_ended(
+        &self,
+        number: CommitNumber,
+        position: Option<log_position::LogPosition>,
+        now: time::Duration,
+    ) {
+        self.commits
+            .borrow_mut()
+            .retain(|(other, _)| *other != number);
+        if position.is_some() {
+            self.last_commit.set(now);
+            self.acknowledged.set(self.acknowledged.get().max(position));
+        }
+    }
+
+    /// Returns the highest position that this node has seen acknowledged.
+    #[must_use]
+    pub fn acknowledged(&self) -> Option<log_position::LogPosition> {
+        self.acknowledged.get()
+    }
+
+    /// Returns for how long commits have waited while none succeeded.
+    #[must_use]
+    pub fn commit_stall(&self, now: time::Duration) -> time::Duration {
+        let oldest = self.commits.borrow().iter().map(|(_, sent)| *sent).min();
+        oldest.map_or(time::Duration::ZERO, |sent| {
+            now.saturating_sub(sent.max(self.last_commit.get()))
+        })
+    }
+
+    /// Records the latest decision on the primary that the store knows.
+    pub fn record_decision(&self, revision: edge::StoreRevision, now: time::Duration) {
+        if revision > self.decision.get() {
+            self.decision.set(revision);
+            self.decided.set(Some(now));
+        }
+    }
+
+    /// Returns the latest decision.
+    #[must_use]
+    pub fn decision(&self) -> edge::StoreRevision {
+        self.decision.get()
+    }
+
+    /// Returns when the latest decision became known.
+    #[must_use]
+    pub fn decided(&self) -> Option<time::Duration> {
+        self.decided.get()
+    }
+
+    /// Notes that the group got a primary at `now`, so that it is left alone for a while.
+    pub fn settle(&self, now: time::Duration) {
+        self.settled.set(Some(now));
+    }
+
+    /// Returns when the group last got a primary.
+    #[must_use]
+    pub fn settled(&self) -> Option<time::Duration> {
+        self.settled.get()
+    }
+
+    /// Returns the highest term that this node knows of.
+    #[must_use]
+    pub fn term(&self) -> ids::TermNumber {
+        let logged = self.acknowledged.get().map_or(0, |position| position.term);
+        self.term.get().max(logged)
+    }
+
+    /// Takes note of a term.
+    pub fn note_term(&self, term: ids::TermNumber) {
+        self.term.set(self.term.get().max(term));
+    }
+
+    /// Says whether this node works on a decision.
+    pub fn set_deciding(&self, deciding: bool) {
+        self.deciding.set(deciding);
+    }
+
+    /// Tells whether this node works on a decision.
+    #[must_use]
+    pub fn is_deciding(&self) -> bool {
+        self.deciding.get()
+    }
+}
--- /dev/null
+++ b/src/node/limits.rs
@@ -0,0 +1,84 @@
+//! Timeouts, limits and weights of a node.
+
+use std::time::Duration;
+
+/// Time without an answer after which an upstream is probed.
+pub const PROBE_AFTER: Duration = Duration::from_millis(120);
+/// Time without an answer, probes included, after which an upstream counts as silent.
+pub const SILENT_AFTER: Duration = Duration::from_millis(350);
+/// Time within which a new connection to an upstream has to be ready.
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(900);
+/// Pause before a new connection after one was refused or failed.
+pub const CONNECT_PAUSE: Duration = Duration::from_millis(200);
+/// Pause before a new connection to an upstream that has all the connections it allows.
+pub const FULL_PAUSE: Duration = Duration::from_millis(500);
+/// Time that an answer may still take after its request was given up, before the connection is
+/// closed.
+pub const LEFTOVER_TIMEOUT: Duration = Duration::from_secs(3);
+/// Connections of an upstream that no VM uses for statements.
+pub const RESERVED_CONNECTIONS: u32 = 3;
+/// Shortest time after which a second attempt of a read starts beside the first.
+pub const HEDGE_AFTER: Duration = Duration::from_millis(110);
+/// A second attempt of a read starts after this many usual answer times.
+pub const HEDGE_FACTOR: u32 = 4;
+/// Pause between looks at a read that waits for its first answer beyond the hedge.
+pub const HEDGE_STEP: Duration = Duration::from_millis(60);
+/// Pause before a statement that an upstream was too busy for is tried again.
+pub const BUSY_PAUSE: Duration = Duration::from_millis(12);
+/// Time for which an upstream that lacked a position gets no other read.
+pub const LAG_PAUSE: Duration = Duration::from_millis(40);
+/// Pause between looks at the tables while nothing can serve a statement.
+pub const ROUTE_PAUSE: Duration = Duration::from_millis(15);
+/// Part of a statement's timeout that it may wait for an upstream; after it the caller is told
+/// that nothing has run and can use the rest for another VM.
+pub const HOLD_SHARE: f64 = 0.8;
+/// Part of an operation's goal that it may wait when no change of the primary is under way.
+pub const REFUSE_SHARE: f64 = 1.0;
+/// Pause that a refusal asks the caller to make.
+pub const COME_BACK: Duration = Duration::from_millis(100);
+/// Age of the newest position of a primary at which a new one is asked for.
+pub const POSITION_INTERVAL: Duration = Duration::from_millis(200);
+/// Period of the monitor of a group.
+pub const MONITOR_TICK: Duration = Duration::from_millis(50);
+/// Time within which a probe has to be answered.
+pub const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time for which a group has to lack a primary before the first VM in rank decides.
+pub const FAILOVER_AFTER: Duration = Duration::from_millis(100);
+/// Additional patience of each further VM in rank.
+pub const RANK_DELAY: Duration = Duration::from_millis(150);
+/// Time for which commits have to hang, with no commit succeeding, before a primary counts as
+/// unable to commit.
+pub const COMMIT_STALL: Duration = Duration::from_millis(600);
+/// Time within which one decision on a primary has to be carried out.
+pub const DECISION_LIMIT: Duration = Duration::from_millis(2_500);
+/// Time for which the decision of another VM is left alone.
+pub const DECISION_RESPECT: Duration = Duration::from_millis(3_000);
+/// Pause after a promotion before the group is judged again.
+pub const PROMOTION_SETTLE: Duration = Duration::from_millis(1_200);
+/// Time for which a call for a promotion is awaited.
+pub const PROMOTE_TIMEOUT: Duration = Duration::from_millis(900);
+/// Period at which a promoted upstream is asked whether it leads.
+pub const LEAD_POLL: Duration = Duration::from_millis(25);
+/// Time to live of a VM's entry in the store.
+pub const MEMBER_TTL: Duration = Duration::from_secs(6);
+/// Period of the renewal of that entry.
+pub const MEMBER_RENEWAL: Duration = Duration::from_secs(2);
+/// Longest wait of one watch. It bounds how long a connection that went silent goes unnoticed.
+pub const WATCH_WAIT: Duration = Duration::from_millis(4_000);
+/// Pause before the store is called again after a failure.
+pub const STORE_PAUSE: Duration = Duration::from_millis(250);
+/// Time after the return of the store for which entries that vanished with it are kept.
+pub const STORE_RETURN: Duration = Duration::from_millis(2_500);
+/// Time after the signal to stop for which new callers are still served: the balancer takes a VM
+/// out after two probes, one a second.
+pub const STOP_LINGER: Duration = Duration::from_millis(2_300);
+/// Time before the end of the grace period at which the process ends.
+pub const STOP_MARGIN: Duration = Duration::from_millis(500);
+/// Part of the grace period that an open transaction gets.
+pub const STOP_TRANSACTION_SHARE: f64 = 0.55;
+/// Part of the usual answer time that each request under way adds to the expected wait.
+pub const LOAD_WEIGHT: f64 = 0.6;
+/// Expected wait that an upstream in another data centre has to be better by.
+pub const REMOTE_PENALTY: Duration = Duration::from_millis(9);
+/// Weight of the newest answer time in the usual one.
+pub const ANSWER_TIME_WEIGHT: f64 = 0.1;
--- /dev/null
+++ b/src/node/mod.rs
@@ -0,0 +1,35 @@
+//! The whole proxy of one VM in a single process: sessions of callers, connections to upstreams,
+//! positions, failover and the tables from the store.
+//!
+//! Everything here works on types of its own. The protocols of callers, upstreams and the store
+//! come in through the traits of [`edge`], so that an adapter can be exchanged without touching a
+//! decision. `docs/node.md` shows the way of a statement through these modules. All tasks of a node
+//! run on one thread, so tables are shared by `Rc` and no borrow is held across an `await`.
+
+pub mod answers;
+pub mod attempt;
+pub mod board;
+pub mod boot_clock;
+pub mod choose;
+pub mod command;
+pub mod config;
+pub mod control;
+pub mod edge;
+pub mod failover;
+pub mod group;
+pub mod health;
+pub mod journal;
+pub mod limits;
+pub mod monitor;
+pub mod pool;
+pub mod probe;
+pub mod promotion;
+pub mod reads;
+pub mod request;
+pub mod session;
+pub mod session_state;
+pub mod stop;
+pub mod transaction;
+pub mod upstream_entry;
+pub mod upstream_session;
+pub mod writes;
--- /dev/null
+++ b/src/node/monitor.rs
@@ -0,0 +1,177 @@
+//! Watches the upstreams of one group: who answers, who leads, and whether a decision is due.
+
+use std::cell;
+use std::collections;
+use std::rc;
+use std::time;
+
+use crate::model::ids;
+use crate::node::{board, boot_clock, edge, failover, group, journal, limits, pool, probe};
+
+/// Why a group may need another primary.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
+#[display(rename_all = "snake_case")]
+pub enum GroupTrouble {
+    /// No upstream leads.
+    NoPrimary,
+    /// The primary does not answer.
+    Silent,
+    /// The primary answers, but its commits hang.
+    Stalled,
+    /// The primary is leaving.
+    Leaving,
+}
+
+/// Watches a group as long as the node runs.
+pub async fn run<E: edge::NodeEdge>(
+    board: rc::Rc<board::NodeBoard<E>>,
+    group: rc::Rc<group::GroupState>,
+) {
+    let probing = rc::Rc::new(ProbeTable::default());
+    let mut since: Option<(GroupTrouble, time::Duration)> = None;
+    loop {
+        tokio::time::sleep(limits::MONITOR_TICK).await;
+        let now = board::steady_now();
+        for pool in board.pools_of(&group.group) {
+            pool.open_first();
+            if pool.health.get().wants_probe(now) || group.primary().is_none() {
+                spawn_probe(&board, &group, &pool, &probing);
+            }
+        }
+        refresh_position(&board, &group, &probing);
+        let Some(trouble) = trouble(&board, &group, now) else {
+            since = None;
+            continue;
+        };
+        let begun = match since {
+            Some((earlier, begun)) if earlier == trouble => begun,
+            _ => now,
+        };
+        since = Some((trouble, begun));
+        if group.is_deciding() || !is_due(&board, &group, begun, now) {
+            continue;
+        }
+        since = None;
+        decide(&board, &group, trouble);
+    }
+}
+
+/// Returns what is wrong with the primary, if anything is.
+fn trouble<E: edge::NodeEdge>(
+    board: &board::NodeBoard<E>,
+    group: &group::GroupState,
+    now: time::Duration,
+) -> Option<GroupTrouble> {
+    let Some(pool) = board.primary_pool(group) else {
+        return Some(GroupTrouble::NoPrimary);
+    };
+    if pool.is_suspect() {
+        return Some(GroupTrouble::Silent);
+    }
+    if group.commit_stall(now) > limits::COMMIT_STALL {
+        return Some(GroupTrouble::Stalled);
+    }
+    pool.read_entry(|entry| entry.leaving)
+        .then_some(GroupTrouble::Leaving)
+}
+
+fn is_due<E: edge::NodeEdge>(
+    board: &board::NodeBoard<E>,
+    group: &group::GroupState,
+    begun: time::Duration,
+    now: time::Duration,
+) -> bool {
+    let rank = board.decision_rank(&group.group);
+    let patience = limits::FAILOVER_AFTER + limits::RANK_DELAY * rank;
+    let is_recent = |moment: Option<time::Duration>, span: time::Duration| {
+        moment.is_some_and(|moment| now.saturating_sub(moment) < span)
+    };
+    now.saturating_sub(begun) >= patience
+        && !is_recent(group.settled(), limits::PROMOTION_SETTLE)
+        && !is_recent(group.decided(), limits::DECISION_RESPECT)
+}
+
+fn decide<E: edge::NodeEdge>(
+    board: &rc::Rc<board::NodeBoard<E>>,
+    group: &rc::Rc<group::GroupState>,
+    trouble: GroupTrouble,
+) {
+    group.set_deciding(true);
+    let board = rc::Rc::clone(board);
+    let group = rc::Rc::clone(group);
+    tokio::task::spawn_local(async move {
+        let end = failover::decide(&board, &group, trouble).await;
+        journal::warn(
+            "decision_ended",
+            &[
+                ("group", &group.group),
+                ("decision", &group.decision()),
+                ("trouble", &trouble),
+                ("end", &end),
+            ],
+        );
+        metrics::counter!("persimmontack_decisions_total", "trouble" => trouble.to_string())
+            .increment(1);
+        group.settle(board::steady_now());
+        group.set_deciding(false);
+        board.changed.notify_waiters();
+    });
+}
+
+/// Upstreams that have a probe under way.
+#[derive(Debug, Default)]
+struct ProbeTable {
+    running: cell::RefCell<collections::BTreeSet<ids::UpstreamId>>,
+}
+
+fn spawn_probe<E: edge::NodeEdge>(
+    board: &rc::Rc<board::NodeBoard<E>>,
+    group: &rc::Rc<group::GroupState>,
+    pool: &rc::Rc<pool::UpstreamPool<E>>,
+    probing: &rc::Rc<ProbeTable>,
+) {
+    if !probing.running.borrow_mut().insert(pool.upstream().clone()) {
+        return;
+    }
+    let board = rc::Rc::clone(board);
+    let group = rc::Rc::clone(group);
+    let pool = rc::Rc::clone(pool);
+    let probing = rc::Rc::clone(probing);
+    tokio::task::spawn_local(async move {
+        // Old connections may be silent for good while a new one works.
+        let suspect = pool.is_suspect();
+        let answer = probe::ask_lead(&pool, &group, suspect).await;
+        if suspect && answer != probe::LeadAnswer::Silent {
+            pool.drop_idle();
+            journal::info("upstream_answers_again", &[("upstream", pool.upstream())]);
+            board.changed.notify_waiters();
+        }
+        match answer {
+            probe::LeadAnswer::Leads(_) => {
+                board.set_primary(&group, Some(pool.upstream()), "probed");
+            }
+            probe::LeadAnswer::Follows if group.is_primary(pool.upstream()) => {
+                board.set_primary(&group, None, "follows");
+            }
+            probe::LeadAnswer::Follows | probe::LeadAnswer::Silent => {}
+        }
+        probing.running.borrow_mut().remove(pool.upstream());
+    });
+}
+
+/// Asks the primary for its position if no statement has shown one lately.
+fn refresh_position<E: edge::NodeEdge>(
+    board: &rc::Rc<board::NodeBoard<E>>,
+    group: &rc::Rc<group::GroupState>,
+    probing: &rc::Rc<ProbeTable>,
+) {
+    let age = group
+        .newest()
+        .map(|newest| boot_clock::now().saturating_sub(newest));
+    if age.is_some_and(|age| age < limits::POSITION_INTERVAL) {
+        return;
+    }
+    if let Some(pool) = board.primary_pool(group) {
+        spawn_probe(board, group, &pool, probing);
+    }
+}
--- /dev/null
+++ b/src/node/pool.rs
@@ -0,0 +1,387 @@
+//! [`UpstreamPool`]: the connections of this VM to one upstream, and what waits for them.
+
+use std::cell;
+use std::collections;
+use std::rc;
+use std::time;
+
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+use crate::model::{ids, log_position};
+use crate::node::{board, edge, health, journal, limits, upstream_entry, upstream_session};
+
+/// Why no connection could be had.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
+#[display(rename_all = "snake_case")]
+pub enum AcquireError {
+    /// The time was up.
+    Late,
+    /// The upstream is gone, is not the primary any more, or refuses connections.
+    Moved,
+}
+
+type Waiter<E> = oneshot::Sender<upstream_session::UpstreamSession<E>>;
+
+/// The connections of this VM to one upstream. Waiting statements get them by priority, and by
+/// arrival within one priority.
+pub struct UpstreamPool<E: edge::NodeEdge> {
+    board: rc::Weak<board::NodeBoard<E>>,
+    upstream: ids::UpstreamId,
+    entry: cell::RefCell<upstream_entry::UpstreamEntry>,
+    idle: cell::RefCell<Vec<upstream_session::UpstreamSession<E>>>,
+    waiting: cell::RefCell<collections::BTreeMap<(u8, u64), Waiter<E>>>,
+    sequence: cell::Cell<u64>,
+    open: cell::Cell<u32>,
+    connecting: cell::Cell<u32>,
+    not_before: cell::Cell<Option<Instant>>,
+    gone: cell::Cell<bool>,
+    /// Whether the upstream answers.
+    pub health: cell::Cell<health::UpstreamHealth>,
+    applied: cell::Cell<Option<log_position::LogPosition>>,
+    lag_seen: cell::Cell<Option<time::Duration>>,
+}
+
+impl<E: edge::NodeEdge> std::fmt::Debug for UpstreamPool<E> {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter
+            .debug_struct("UpstreamPool")
+            .field("upstream", &self.upstream)
+            .field("open", &self.open)
+            .finish_non_exhaustive()
+    }
+}
+
+impl<E: edge::NodeEdge> UpstreamPool<E> {
+    /// Creates a pool without connections.
+    #[must_use]
+    pub fn new(
+        board: rc::Weak<board::NodeBoard<E>>,
+        entry: upstream_entry::UpstreamEntry,
+    ) -> rc::Rc<Self> {
+        rc::Rc::new(Self {
+            board,
+            upstream: entry.upstream.clone(),
+            entry: cell::RefCell::new(entry),
+            idle: cell::RefCell::default(),
+            waiting: cell::RefCell::default(),
+            sequence: cell::Cell::default(),
+            open: cell::Cell::default(),
+            connecting: cell::Cell::default(),
+            not_before: cell::Cell::default(),
+            gone: cell::Cell::default(),
+            health: cell::Cell::default(),
+            applied: cell::Cell::default(),
+            lag_seen: cell::Cell::default(),
+        })
+    }
+
+    /// Returns the id of the upstream.
+    #[must_use]
+    pub const fn upstream(&self) -> &ids::UpstreamId {
+        &self.upstream
+    }
+
+    /// Returns what the list says of the upstream.
+    #[must_use]
+    pub fn entry(&self) -> upstream_entry::UpstreamEntry {
+        self.entry.borrow().clone()
+    }
+
+    /// Reads one thing that the list says of the upstream.
+    pub fn read_entry<T>(&self, read: impl FnOnce(&upstream_entry::UpstreamEntry) -> T) -> T {
+        read(&self.entry.borrow())
+    }
+
+    /// Takes over what the list says now.
+    pub fn set_entry(&self, entry: upstream_entry::UpstreamEntry) {
+        *self.entry.borrow_mut() = entry;
+    }
+
+    /// Returns the connections that are open or being opened.
+    #[must_use]
+    pub fn connections(&self) -> u32 {
+        self.open.get() + self.connecting.get()
+    }
+
+    /// Returns the statements that wait for a connection.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.waiting.borrow().len()
+    }
+
+    /// Tells whether the upstream was removed.
+    #[must_use]
+    pub fn is_gone(&self) -> bool {
+        self.gone.get()
+    }
+
+    /// Tells whether the upstream gets no new work, because it does not answer.
+    #[must_use]
+    pub fn is_suspect(&self) -> bool {
+        self.health.get().is_suspect(board::steady_now())
+    }
+
+    /// Changes what is known of the upstream's health.
+    pub fn note(&self, change: impl FnOnce(&mut health::UpstreamHealth)) {
+        let mut health = self.health.get();
+        change(&mut health);
+        self.health.set(health);
+    }
+
+    /// Notes the position that an answer showed.
+    pub fn note_position(&self, position: Option<log_position::LogPosition>) {
+        if position.is_some() {
+            self.applied.set(position);
+        }
+    }
+
+    /// Returns the position that the last answer showed.
+    #[must_use]
+    pub fn applied(&self) -> Option<log_position::LogPosition> {
+        self.applied.get()
+    }
+
+    /// Notes that the upstream lacked a wanted position.
+    pub fn note_lag(&self, now: time::Duration) {
+        self.lag_seen.set(Some(now));
+    }
+
+    /// Tells whether the upstream lacked a wanted position a moment ago.
+    #[must_use]
+    pub fn lagged(&self, now: time::Duration) -> bool {
+        self.lag_seen
+            .get()
+            .is_some_and(|seen| now.saturating_sub(seen) < limits::LAG_PAUSE)
+    }
+
+    /// Closes idle connections and sends everything that waits elsewhere.
+    pub fn retire(&self) {
+        self.gone.set(true);
+        self.turn_away();
+        self.drop_idle();
+    }
+
+    /// Sends everything that waits elsewhere.
+    pub fn turn_away(&self) {
+        let waiting = std::mem::take(&mut *self.waiting.borrow_mut());
+        drop(waiting);
+    }
+
+    /// Returns an idle connection, if there is one.
+    pub fn take_idle(&self) -> Option<upstream_session::UpstreamSession<E>> {
+        loop {
+            let mut session = self.idle.borrow_mut().pop()?;
+            if !session.is_stale() {
+                return Some(session);
+            }
+            journal::debug("upstream_connection_stale", &[("upstream", &self.upstream)]);
+        }
+    }
+
+    /// Returns a connection, waiting until `limit` for one.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the time is up or the upstream takes no more work.
+    pub async fn acquire(
+        self: &rc::Rc<Self>,
+        priority: u8,
+        limit: Instant,
+    ) -> Result<upstream_session::UpstreamSession<E>, AcquireError> {
+        if self.gone.get() {
+            return Err(AcquireError::Moved);
+        }
+        if self.waiting.borrow().is_empty()
+            && let Some(session) = self.take_idle()
+        {
+            return Ok(session);
+        }
+        let (sender, receiver) = oneshot::channel();
+        let sequence = self.sequence.get();
+        self.sequence.set(sequence + 1);
+        let key = (priority, sequence);
+        self.waiting.borrow_mut().insert(key, sender);
+        let _place = WaitingPlace { pool: self, key };
+        self.open_more();
+        match tokio::time::timeout_at(limit, receiver).await {
+            Ok(Ok(session)) => Ok(session),
+            Ok(Err(_turned_away)) => Err(AcquireError::Moved),
+            Err(_elapsed) => Err(AcquireError::Late),
+        }
+    }
+
+    /// Returns a connection for a probe at once, beyond this VM's share if need be; `fresh` asks
+    /// for a new one.
+    pub async fn acquire_for_probe(
+        self: &rc::Rc<Self>,
+        fresh: bool,
+    ) -> Option<upstream_session::UpstreamSession<E>> {
+        if !fresh && let Some(session) = self.take_idle() {
+            return Some(session);
+        }
+        match self.connect().await {
+            Ok(session) => {
+                self.note_connected();
+                Some(session)
+            }
+            Err(error) => {
+                self.note_connect_error(&error);
+                None
+            }
+        }
+    }
+
+    /// Closes the idle connections.
+    pub fn drop_idle(&self) {
+        let idle = std::mem::take(&mut *self.idle.borrow_mut());
+        drop(idle);
+    }
+
+    /// Gives a connection back that is outside a transaction.
+    pub fn release(&self, mut session: upstream_session::UpstreamSession<E>) {
+        let keep = !self.gone.get() && !session.is_stale() && self.connections() <= self.share();
+        if !keep {
+            return;
+        }
+        loop {
+            let Some((_, waiter)) = self.waiting.borrow_mut().pop_first() else {
+                break;
+            };
+            match waiter.send(session) {
+                Ok(()) => return,
+                Err(returned) => session = returned,
+            }
+        }
+        self.idle.borrow_mut().push(session);
+    }
+
+    fn share(&self) -> u32 {
+        let Some(board) = self.board.upgrade() else {
+            return 0;
+        };
+        self.read_entry(|entry| board.connection_share(&entry.group))
+    }
+
+    /// Opens connections for what waits, within this VM's share.
+    pub fn open_more(self: &rc::Rc<Self>) {
+        let now = Instant::now();
+        if self.gone.get() || self.not_before.get().is_some_and(|moment| now < moment) {
+            return;
+        }
+        let wanted = u32::try_from(self.waiting.borrow().len()).unwrap_or(u32::MAX);
+        while self.connecting.get() < wanted && self.connections() < self.share() {
+            self.open_one();
+        }
+    }
+
+    /// Opens a connection if this VM has none, to have one at hand.
+    pub fn open_first(self: &rc::Rc<Self>) {
+        let now = Instant::now();
+        let paused = self.not_before.get().is_some_and(|moment| now < moment);
+        if !self.gone.get() && !paused && self.connections() == 0 {
+            self.open_one();
+        }
+    }
+
+    fn open_one(self: &rc::Rc<Self>) {
+        self.connecting.set(self.connecting.get() + 1);
+        let pool = rc::Rc::clone(self);
+        tokio::task::spawn_local(async move {
+            let result = pool.connect().await;
+            pool.connecting.set(pool.connecting.get() - 1);
+            match result {
+                Ok(session) => {
+                    pool.note_connected();
+                    pool.release(session);
+                }
+                Err(error) => pool.note_connect_error(&error),
+            }
+        });
+    }
+
+    fn note_connected(&self) {
+        metrics::counter!("persimmontack_upstream_connections_total").increment(1);
+        journal::debug(
+            "upstream_connected",
+            &[("upstream", &self.upstream), ("open", &self.open.get())],
+        );
+    }
+
+    async fn connect(
+        self: &rc::Rc<Self>,
+    ) -> Result<upstream_session::UpstreamSession<E>, edge::ConnectError> {
+        let Some(board) = self.board.upgrade() else {
+            return Err(edge::ConnectError::Silent);
+        };
+        let entry = self.entry();
+        let started = board::steady_now();
+        let link = tokio::time::timeout(limits::CONNECT_TIMEOUT, board.edge.connect(&entry))
+            .await
+            .unwrap_or(Err(edge::ConnectError::Silent));
+        match link {
+            Ok(link) => {
+                self.open.set(self.open.get() + 1);
+                self.note(|health| {
+                    health.sent(started);
+                    health.answered(board::steady_now(), None);
+                });
+                Ok(upstream_session::UpstreamSession::new(
+                    link,
+                    rc::Rc::clone(self),
+                ))
+            }
+            Err(error) => {
+                if matches!(error, edge::ConnectError::Silent) {
+                    self.note(|health| health.silent(started));
+                }
+                Err(error)
+            }
+        }
+    }
+
+    fn note_connect_error(&self, error: &edge::ConnectError) {
+        let pause = match error {
+            edge::ConnectError::Full => limits::FULL_PAUSE,
+            edge::ConnectError::Refused(_)
+            | edge::ConnectError::Silent
+            | edge::ConnectError::Misrouted => limits::CONNECT_PAUSE,
+        };
+        self.not_before.set(Some(Instant::now() + pause));
+        journal::warn(
+            "upstream_connect_failed",
+            &[
+                ("upstream", &self.upstream),
+                ("reason", error),
+                ("open", &self.open.get()),
+            ],
+        );
+        let refused = matches!(
+            error,
+            edge::ConnectError::Refused(_) | edge::ConnectError::Misrouted
+        );
+        if refused {
+            self.note(health::UpstreamHealth::refused);
+        }
+        if self.open.get() == 0 {
+            self.turn_away();
+        }
+    }
+
+    /// Counts a connection that was closed.
+    pub fn closed(&self) {
+        self.open.set(self.open.get().saturating_sub(1));
+    }
+}
+
+/// Takes a statement out of the queue when it stops waiting.
+struct WaitingPlace<'a, E: edge::NodeEdge> {
+    pool: &'a UpstreamPool<E>,
+    key: (u8, u64),
+}
+
+impl<E: edge::NodeEdge> Drop for WaitingPlace<'_, E> {
+    fn drop(&mut self) {
+        self.pool.waiting.borrow_mut().remove(&self.key);
+    }
+}
--- /dev/null
+++ b/src/node/probe.rs
@@ -0,0 +1,100 @@
+//! Questions to an upstream that need no slot: whether it leads, and how far its log reaches.
+
+use std::rc;
+
+use crate::model::{ids, log_position};
+use crate::node::{
+    board, boot_clock, command, edge, group, journal, limits, pool, upstream_session,
+};
+
+/// What an upstream said about its lead.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LeadAnswer {
+    /// It is the primary, and has applied this position.
+    Leads(Option<log_position::LogPosition>),
+    /// It is not the primary.
+    Follows,
+    /// It did not answer.
+    Silent,
+}
+
+/// Asks an upstream whether it is the primary, by beginning a transaction that writes and rolling
+/// it back. A position that the primary shows is recorded.
+pub async fn ask_lead<E: edge::NodeEdge>(
+    pool: &rc::Rc<pool::UpstreamPool<E>>,
+    group: &group::GroupState,
+    fresh: bool,
+) -> LeadAnswer {
+    let begin = command::UpstreamCommand::Begin {
+        read_only: false,
+        floor: None,
+    };
+    let question = async {
+        let mut session = pool.acquire_for_probe(fresh).await?;
+        let asked = boot_clock::now();
+        let commands = [&begin, &command::UpstreamCommand::Rollback];
+        let [answer, _end] = session.exchange(commands).await.ok()?;
+        pool.release(session);
+        Some((asked, answer))
+    };
+    let started = board::steady_now();
+    match tokio::time::timeout(limits::PROBE_TIMEOUT, question).await {
+        Ok(Some((asked, answer))) => {
+            pool.note_position(answer.position);
+            if answer.result.is_err() {
+                return LeadAnswer::Follows;
+            }
+            if let Some(position) = answer.position {
+                group.confirm(pool.upstream(), asked, position);
+            }
+            LeadAnswer::Leads(answer.position)
+        }
+        Ok(None) => LeadAnswer::Silent,
+        Err(_elapsed) => {
+            pool.note(|health| health.silent(started));
+            LeadAnswer::Silent
+        }
+    }
+}
+
+/// Sends a command that is answered with the state of the upstream.
+pub async fn ask_status<E: edge::NodeEdge>(
+    pool: &rc::Rc<pool::UpstreamPool<E>>,
+    command: &command::UpstreamCommand,
+) -> Option<command::UpstreamStatus> {
+    let question = async {
+        let mut session: upstream_session::UpstreamSession<E> =
+            pool.acquire_for_probe(false).await?;
+        let [answer] = session.exchange([command]).await.ok()?;
+        pool.release(session);
+        if let Err(error) = &answer.result {
+            journal::debug(
+                "status_refused",
+                &[("upstream", pool.upstream()), ("reason", &error.code)],
+            );
+            return None;
+        }
+        <E::Upstream as edge::UpstreamLink>::read_status(&answer)
+    };
+    let started = board::steady_now();
+    match tokio::time::timeout(limits::PROBE_TIMEOUT, question).await {
+        Ok(status) => status,
+        Err(_elapsed) => {
+            pool.note(|health| health.silent(started));
+            None
+        }
+    }
+}
+
+/// Fences a replica above every term that it knows, and returns its state then.
+pub async fn fence<E: edge::NodeEdge>(
+    pool: &rc::Rc<pool::UpstreamPool<E>>,
+    term: ids::TermNumber,
+) -> Option<command::UpstreamStatus> {
+    let status = ask_status(pool, &command::UpstreamCommand::Fence(term)).await?;
+    if status.primary || status.fenced >= term || status.term < term {
+        return Some(status);
+    }
+    // The replica knew a newer term, so it was not fenced.
+    ask_status(pool, &command::UpstreamCommand::Fence(status.term + 1)).await
+}
--- /dev/null
+++ b/src/node/session_state.rs
@@ -0,0 +1,62 @@
+//! [`SessionState`]: the values and prepared statements of a caller's session.
+
+use std::collections;
+
+use bytes::Bytes;
+
+use crate::model::{ids, log_position};
+use crate::node::request;
+
+/// What a session has set up and written.
+#[derive(Clone, Debug, Default)]
+pub struct SessionState {
+    values: collections::BTreeMap<Bytes, Bytes>,
+    prepared: collections::HashMap<Bytes, request::PreparedShape>,
+    written: Vec<(ids::GroupId, log_position::LogPosition)>,
+}
+
+impl SessionState {
+    /// Sets a value.
+    pub fn set(&mut self, name: Bytes, value: Bytes) {
+        self.values.insert(name, value);
+    }
+
+    /// Names a statement.
+    pub fn prepare(&mut self, name: Bytes, shape: request::PreparedShape) {
+        self.prepared.insert(name, shape);
+    }
+
+    /// Forgets a named statement.
+    pub fn forget(&mut self, name: &Bytes) -> bool {
+        self.prepared.remove(name).is_some()
+    }
+
+    /// Returns a named statement.
+    #[must_use]
+    pub fn prepared(&self, name: &Bytes) -> Option<&request::PreparedShape> {
+        self.prepared.get(name)
+    }
+
+    /// Returns the values.
+    #[must_use]
+    pub const fn values(&self) -> &collections::BTreeMap<Bytes, Bytes> {
+        &self.values
+    }
+
+    /// Takes over the position that a commit of the session reached.
+    pub fn record_commit(&mut self, group: &str, position: log_position::LogPosition) {
+        match self.written.iter_mut().find(|(other, _)| other == group) {
+            Some((_, written)) => *written = position.max(*written),
+            None => self.written.push((group.to_owned(), position)),
+        }
+    }
+
+    /// Returns the position of the session's last commit in `group`.
+    #[must_use]
+    pub fn written(&self, group: &str) -> Option<log_position::LogPosition> {
+        self.written
+            .iter()
+            .find(|(other, _)| other == group)
+            .map(|(_, position)| *position)
+    }
+}
--- /dev/null
+++ b/src/node/stop.rs
@@ -0,0 +1,85 @@
+//! The planned stop of a node.
+
+use std::cell;
+use std::rc;
+use std::time;
+
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+use crate::node::{board, edge, limits};
+
+/// How far the stop of a node has got.
+#[derive(Debug, Default)]
+pub struct StopState {
+    started: cell::Cell<Option<Instant>>,
+    grace: cell::Cell<time::Duration>,
+    begun: Notify,
+}
+
+impl StopState {
+    /// Begins the stop, which has to be over after `grace`.
+    pub fn begin(&self, grace: time::Duration) {
+        self.started.set(Some(Instant::now()));
+        self.grace.set(grace);
+        self.begun.notify_waiters();
+    }
+
+    /// Tells whether the node stops.
+    #[must_use]
+    pub fn is_begun(&self) -> bool {
+        self.started.get().is_some()
+    }
+
+    /// Completes when a session without a request under way is to be closed: soon after callers
+    /// are sent elsewhere, or later if it has an open transaction.
+    pub async fn closes_idle(&self, in_transaction: bool) {
+        let started = loop {
+            let begun = self.begun.notified();
+            if let Some(started) = self.started.get() {
+                break started;
+            }
+            begun.await;
+        };
+        let share = self.grace.get().mul_f64(limits::STOP_TRANSACTION_SHARE);
+        let patience = if in_transaction {
+            share
+        } else {
+            limits::STOP_LINGER.min(share)
+        };
+        tokio::time::sleep_until(started + patience).await;
+    }
+
+    /// Completes when the process has to end: no session is left, or the time is up.
+    pub async fn finished<E: edge::NodeEdge>(&self, board: &board::NodeBoard<E>) {
+        let started = self.started.get().unwrap_or_else(Instant::now);
+        let end = started + self.grace.get().saturating_sub(limits::STOP_MARGIN);
+        let linger = started + limits::STOP_LINGER.min(self.grace.get());
+        tokio::time::sleep_until(linger).await;
+        while board.sessions.get() > 0 && Instant::now() < end {
+            tokio::time::sleep(limits::ROUTE_PAUSE).await;
+        }
+    }
+}
+
+/// Counts a session while it is open.
+#[derive(Debug)]
+pub struct SessionCount<E: edge::NodeEdge> {
+    board: rc::Rc<board::NodeBoard<E>>,
+}
+
+impl<E: edge::NodeEdge> SessionCount<E> {
+    /// Counts a session that has begun.
+    #[must_use]
+    pub fn new(board: rc::Rc<board::NodeBoard<E>>) -> Self {
+        board.sessions.set(board.sessions.get() + 1);
+        Self { board }
+    }
+}
+
+impl<E: edge::NodeEdge> Drop for SessionCount<E> {
+    fn drop(&mut self) {
+        let sessions = self.board.sessions.get();
+        self.board.sessions.set(sessions.saturating_sub(1));
+    }
+}
--- /dev/null
+++ b/src/node/transaction.rs
@@ -0,0 +1,389 @@
+//! [`OpenTransaction`]: a caller's transaction and the connection that it is bound to.
+//!
+//! The upstream's transaction begins with the first statement, so that a caller that pauses after
+//! `BEGIN` holds no connection.
+
+use std::rc;
+use std::time;
+
+use tokio::time::Instant;
+
+use crate::model::log_position;
+use crate::node::{
+    answers, attempt, board, boot_clock, command, config, edge, group, journal, limits, pool,
+    reads, request, session_state, upstream_session, writes,
+};
+
+/// How a statement of a transaction ended.
+#[derive(Debug)]
+pub enum TransactionEnd {
+    /// The upstream's answer.
+    Answered(answers::UpstreamAnswer),
+    /// The transaction is rolled back, for this reason.
+    Aborted(String),
+    /// The commit may have taken effect.
+    Unknown(String),
+}
+
+/// A caller's transaction.
+#[derive(Debug)]
+pub struct OpenTransaction<E: edge::NodeEdge> {
+    plan: reads::ReadPlan,
+    read_only: bool,
+    session: Option<upstream_session::UpstreamSession<E>>,
+    wrote: bool,
+    failed: bool,
+}
+
+impl<E: edge::NodeEdge> OpenTransaction<E> {
+    /// Begins a transaction whose first statement has not come yet.
+    #[must_use]
+    pub const fn new(plan: reads::ReadPlan, read_only: bool) -> Self {
+        Self {
+            plan,
+            read_only,
+            session: None,
+            wrote: false,
+            failed: false,
+        }
+    }
+
+    /// Tells whether the transaction can only be ended.
+    #[must_use]
+    pub const fn is_failed(&self) -> bool {
+        self.failed
+    }
+
+    /// Tells whether a connection is bound to the transaction.
+    #[must_use]
+    pub const fn is_bound(&self) -> bool {
+        self.session.is_some()
+    }
+
+    /// Returns the group in which the transaction runs.
+    #[must_use]
+    pub const fn group(&self) -> &rc::Rc<group::GroupState> {
+        &self.plan.group
+    }
+
+    /// Returns what the configuration said of the database when the transaction began.
+    #[must_use]
+    pub const fn route(&self) -> &config::DatabaseRoute {
+        &self.plan.route
+    }
+
+    /// Returns the upstream that the transaction is bound to, for log lines.
+    #[must_use]
+    pub fn upstream(&self) -> String {
+        self.session.as_ref().map_or_else(
+            || "-".to_owned(),
+            |session| session.pool().upstream().clone(),
+        )
+    }
+
+    /// Runs a statement.
+    pub async fn run(
+        &mut self,
+        board: &rc::Rc<board::NodeBoard<E>>,
+        request: &request::CallerRequest,
+        writes: bool,
+        state: &session_state::SessionState,
+        started: Instant,
+    ) -> TransactionEnd {
+        let limit = started + self.plan.route.timeout;
+        if let Err(reason) = self.bind(board, state, started).await {
+            return self.abort(reason.to_string());
+        }
+        loop {
+            let Some(session) = &mut self.session else {
+                return self.abort("no connection".to_owned());
+            };
+            let Some(command) = session.set_up(state, request, None) else {
+                return self.abort("statement is not prepared".to_owned());
+            };
+            self.wrote |= writes;
+            let exchange = session.exchange([&command]);
+            let answer = match tokio::time::timeout_at(limit, exchange).await {
+                Ok(Ok([answer])) => answer,
+                Ok(Err(error)) => return self.abort(error.to_string()),
+                Err(_elapsed) => return self.abort("no answer in time".to_owned()),
+            };
+            if answer.error_code() == Some(answers::ErrorCode::Busy)
+                && answer.state == answers::TransactionState::Open
+                && Instant::now() + limits::BUSY_PAUSE < limit
+            {
+                self.note_busy(request);
+                tokio::time::sleep(limits::BUSY_PAUSE).await;
+                continue;
+            }
+            if answer.result.is_err() {
+                self.failed = answer.state != answers::TransactionState::Open;
+            }
+            return TransactionEnd::Answered(answer);
+        }
+    }
+
+    /// Commits.
+    pub async fn commit(
+        &mut self,
+        board: &rc::Rc<board::NodeBoard<E>>,
+        request: &request::CallerRequest,
+        state: &session_state::SessionState,
+        started: Instant,
+    ) -> TransactionEnd {
+        let limit = started + self.plan.route.timeout;
+        if let Err(reason) = self.bind(board, state, started).await {
+            return self.abort(reason.to_string());
+        }
+        let command = command::UpstreamCommand::Caller {
+            id: request.id.clone(),
+            floor: None,
+            text: request.text.clone(),
+        };
+        loop {
+            let Some(mut session) = self.session.take() else {
+                return self.abort("no connection".to_owned());
+            };
+            let pool = rc::Rc::clone(session.pool());
+            let group = rc::Rc::clone(&self.plan.group);
+            let wrote = self.wrote;
+            let sent = command.clone();
+            let mut work = Box::pin(async move {
+                let result = if wrote {
+                    writes::commit_exchange(&pool, &group, &mut session, &sent).await
+                } else {
+                    session.exchange([&sent]).await.map(|[answer]| answer)
+                };
+                (session, result)
+            });
+            let (mut session, result) = match tokio::time::timeout_at(limit, &mut work).await {
+                Ok(end) => end,
+                Err(_elapsed) => {
+                    leave_running(work);
+                    return self.commit_lost("no answer in time".to_owned());
+                }
+            };
+            let answer = match result {
+                Ok(answer) => answer,
+                Err(error) => return self.commit_lost(error.to_string()),
+            };
+            let again = answer.error_code() == Some(answers::ErrorCode::Busy)
+                && answer.state == answers::TransactionState::Open;
+            if again && Instant::now() + limits::BUSY_PAUSE < limit {
+                self.session = Some(session);
+                self.note_busy(request);
+                tokio::time::sleep(limits::BUSY_PAUSE).await;
+                continue;
+            }
+            session.set_in_transaction(false);
+            // A connection that is still in a transaction is closed, which rolls it back.
+            if answer.state == answers::TransactionState::Idle {
+                let pool = rc::Rc::clone(session.pool());
+                pool.release(session);
+            }
+            return TransactionEnd::Answered(answer);
+        }
+    }
+
+    /// Rolls back without waiting for the upstream.
+    pub async fn roll_back(&mut self) {
+        let Some(mut session) = self.session.take() else {
+            return;
+        };
+        session.skip(&command::UpstreamCommand::Rollback);
+        session.set_in_transaction(false);
+        if session.send().await.is_ok() {
+            let pool = rc::Rc::clone(session.pool());
+            pool.release(session);
+        }
+    }
+
+    /// Rolls back because of a limit of the node; the caller may only end the transaction.
+    pub async fn expire(&mut self) {
+        self.failed = true;
+        self.roll_back().await;
+    }
+
+    /// Tells whether the transaction may have written.
+    #[must_use]
+    pub const fn wrote(&self) -> bool {
+        self.wrote
+    }
+
+    fn note_busy(&self, request: &request::CallerRequest) {
+        journal::warn(
+            "statement_retried",
+            &[
+                ("request", &request.id_text()),
+                ("upstream", &self.upstream()),
+                ("reason", &attempt::NotRun::Busy),
+            ],
+        );
+        metrics::counter!("persimmontack_retries_total", "reason" => "busy").increment(1);
+    }
+
+    /// Closes the connection, which rolls back.
+    fn abort(&mut self, reason: String) -> TransactionEnd {
+        self.failed = true;
+        self.session = None;
+        TransactionEnd::Aborted(reason)
+    }
+
+    fn commit_lost(&mut self, reason: String) -> TransactionEnd {
+        self.failed = true;
+        if self.wrote {
+            TransactionEnd::Unknown(reason)
+        } else {
+            TransactionEnd::Aborted(reason)
+        }
+    }
+
+    async fn bind(
+        &mut self,
+        board: &rc::Rc<board::NodeBoard<E>>,
+        state: &session_state::SessionState,
+        started: Instant,
+    ) -> Result<(), attempt::NotRun> {
+        if self.session.is_some() {
+            return Ok(());
+        }
+        let hold_limit = started + self.plan.route.timeout.mul_f64(limits::HOLD_SHARE);
+        let mut last = attempt::NotRun::NoUpstream;
+        let mut tried = Vec::new();
+        while Instant::now() < hold_limit {
+            let target = if self.read_only {
+                self.plan.choose(board, &tried)
+            } else {
+                writes::await_primary(board, &self.plan.group, started, &self.plan.route)
+                    .await
+                    .map(|pool| (pool, None))
+            };
+            let Some((pool, floor)) = target else {
+                tokio::select! {
+                    () = board.changed.notified() => {}
+                    () = tokio::time::sleep(limits::ROUTE_PAUSE) => {}
+                }
+                continue;
+            };
+            tried.push(pool.upstream().clone());
+            match self.begin_at(&pool, floor, state, hold_limit).await {
+                Ok(session) => {
+                    self.session = Some(session);
+                    return Ok(());
+                }
+                Err(reason) => {
+                    last = reason;
+                    let lost_lead = reason == attempt::NotRun::NotPrimary;
+                    if lost_lead && self.plan.group.is_primary(pool.upstream()) {
+                        board.set_primary(&self.plan.group, None, "refused_begin");
+                    }
+                    journal::debug(
+                        "begin_retried",
+                        &[("upstream", pool.upstream()), ("reason", &reason)],
+                    );
+                    tokio::time::sleep(limits::ROUTE_PAUSE).await;
+                }
+            }
+        }
+        Err(last)
+    }
+
+    async fn begin_at(
+        &self,
+        pool: &rc::Rc<pool::UpstreamPool<E>>,
+        floor: Option<log_position::LogPosition>,
+        state: &session_state::SessionState,
+        limit: Instant,
+    ) -> Result<upstream_session::UpstreamSession<E>, attempt::NotRun> {
+        let mut session = pool
+            .acquire(self.plan.route.priority, limit)
+            .await
+            .map_err(attempt::no_connection)?;
+        session.match_values(state);
+        let limit = limit.min(Instant::now() + limits::SILENT_AFTER);
+        let begun = begin(&self.plan.group, &mut session, self.read_only, floor);
+        match tokio::time::timeout_at(limit, begun).await {
+            Ok(Ok(None)) => {
+                session.set_in_transaction(true);
+                Ok(session)
+            }
+            Ok(Ok(Some(reason))) => {
+                if reason == attempt::NotRun::Lagging {
+                    pool.note_lag(board::steady_now());
+                }
+                pool.release(session);
+                Err(reason)
+            }
+            Ok(Err(_)) | Err(_) => Err(attempt::NotRun::Moved),
+        }
+    }
+}
+
+/// Begins a transaction on a connection, and returns why it was refused, if it was.
+async fn begin<E: edge::NodeEdge>(
+    group: &group::GroupState,
+    session: &mut upstream_session::UpstreamSession<E>,
+    read_only: bool,
+    floor: Option<log_position::LogPosition>,
+) -> std::io::Result<Option<attempt::NotRun>> {
+    let asked: time::Duration = boot_clock::now();
+    let leading = command::UpstreamCommand::Begin {
+        read_only: false,
+        floor: None,
+    };
+    let answer = if read_only {
+        let reading = command::UpstreamCommand::Begin { read_only, floor };
+        if floor.is_some() {
+            let [answer] = session.exchange([&reading]).await?;
+            answer
+        } else {
+            // Without a position, only a primary that leads after the transaction arrived will do.
+            let commands = [&leading, &command::UpstreamCommand::Rollback, &reading];
+            let [check, _end, answer] = session.exchange(commands).await?;
+            if check.result.is_err() {
+                return Err(std::io::Error::other("the upstream has lost the lead"));
+            }
+            answer
+        }
+    } else {
+        let [answer] = session.exchange([&leading]).await?;
+        answer
+    };
+    if let Err(error) = &answer.result {
+        let Some(reason) = attempt::not_run(error.code) else {
+            return Err(std::io::Error::other(format!(
+                "begin failed: {}",
+                error.code
+            )));
+        };
+        return Ok(Some(reason));
+    }
+    if !read_only && let Some(position) = answer.position {
+        group.confirm(session.pool().upstream(), asked, position);
+    }
+    Ok(None)
+}
+
+fn leave_running<E: edge::NodeEdge>(
+    work: std::pin::Pin<
+        Box<
+            impl Future<
+                Output = (
+                    upstream_session::UpstreamSession<E>,
+                    std::io::Result<answers::UpstreamAnswer>,
+                ),
+            > + 'static,
+        >,
+    >,
+) {
+    tokio::task::spawn_local(async move {
+        let end = tokio::time::timeout(limits::LEFTOVER_TIMEOUT, work).await;
+        if let Ok((mut session, Ok(answer))) = end
+            && answer.state == answers::TransactionState::Idle
+        {
+            session.set_in_transaction(false);
+            let pool = rc::Rc::clone(session.pool());
+            pool.release(session);
+        }
+    });
+}
--- /dev/null
+++ b/src/node/upstream_session.rs
@@ -0,0 +1,187 @@
+//! [`UpstreamSession`]: one connection to an upstream, with what is set up on it.
+
+use std::collections;
+use std::io;
+use std::rc;
+
+use bytes::Bytes;
+
+use crate::node::edge::UpstreamLink as _;
+use crate::node::{answers, board, command, edge, pool, request, session_state};
+
+/// Statements that stay prepared on one connection; beyond it the connection is cleared.
+const MAX_PREPARED: usize = 64;
+
+/// One connection to an upstream, borrowed from its pool. Dropping it closes it; see
+/// [`pool::UpstreamPool::release`] for giving it back.
+pub struct UpstreamSession<E: edge::NodeEdge> {
+    link: E::Upstream,
+    pool: rc::Rc<pool::UpstreamPool<E>>,
+    values: collections::BTreeMap<Bytes, Bytes>,
+    prepared: collections::HashMap<request::PreparedShape, command::PreparedNumber>,
+    unread: u32,
+    in_transaction: bool,
+}
+
+impl<E: edge::NodeEdge> std::fmt::Debug for UpstreamSession<E> {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter
+            .debug_struct("UpstreamSession")
+            .field("upstream", &self.pool.upstream())
+            .finish_non_exhaustive()
+    }
+}
+
+impl<E: edge::NodeEdge> UpstreamSession<E> {
+    /// Wraps a new connection, which the pool counts already.
+    pub fn new(link: E::Upstream, pool: rc::Rc<pool::UpstreamPool<E>>) -> Self {
+        Self {
+            link,
+            pool,
+            values: collections::BTreeMap::new(),
+            prepared: collections::HashMap::new(),
+            unread: 0,
+            in_transaction: false,
+        }
+    }
+
+    /// Returns the pool of the connection.
+    #[must_use]
+    pub const fn pool(&self) -> &rc::Rc<pool::UpstreamPool<E>> {
+        &self.pool
+    }
+
+    /// Says whether a transaction is open; its connection is not cleared.
+    pub const fn set_in_transaction(&mut self, in_transaction: bool) {
+        self.in_transaction = in_transaction;
+    }
+
+    /// Tells whether the connection was closed while it was idle.
+    pub fn is_stale(&mut self) -> bool {
+        self.link.is_stale(self.unread > 0)
+    }
+
+    /// Queues what makes the connection's values and prepared statements those of `session`, and
+    /// returns how the request reads on this connection. Returns `None` if the request runs a
+    /// statement that the session has not prepared.
+    pub fn set_up(
+        &mut self,
+        session: &session_state::SessionState,
+        request: &request::CallerRequest,
+        floor: Option<crate::model::log_position::LogPosition>,
+    ) -> Option<command::UpstreamCommand> {
+        self.match_values(session);
+        let request::StatementKind::Execute { name, arguments } = &request.kind else {
+            return Some(command::UpstreamCommand::Caller {
+                id: request.id.clone(),
+                floor,
+                text: request.text.clone(),
+            });
+        };
+        let shape = session.prepared(name)?;
+        Some(command::UpstreamCommand::Execute {
+            id: request.id.clone(),
+            floor,
+            number: self.prepare(shape),
+            arguments: arguments.clone(),
+        })
+    }
+
+    /// Queues what makes the connection's values those of `session`. A transaction needs it
+    /// before it begins.
+    pub fn match_values(&mut self, session: &session_state::SessionState) {
+        let stale = self
+            .values
+            .keys()
+            .any(|name| !session.values().contains_key(name));
+        if !self.in_transaction && (stale || self.prepared.len() >= MAX_PREPARED) {
+            self.skip(&command::UpstreamCommand::Reset);
+            self.values.clear();
+            self.prepared.clear();
+        }
+        for (name, value) in session.values() {
+            if self.values.get(name) == Some(value) {
+                continue;
+            }
+            self.skip(&command::UpstreamCommand::Set {
+                name: name.clone(),
+                value: value.clone(),
+            });
+            self.values.insert(name.clone(), value.clone());
+        }
+    }
+
+    fn prepare(&mut self, shape: &request::PreparedShape) -> command::PreparedNumber {
+        if let Some(number) = self.prepared.get(shape) {
+            return *number;
+        }
+        let number = command::PreparedNumber::try_from(self.prepared.len())
+            .unwrap_or(command::PreparedNumber::MAX);
+        self.skip(&command::UpstreamCommand::Prepare {
+            number,
+            shape: shape.clone(),
+        });
+        self.prepared.insert(shape.clone(), number);
+        number
+    }
+
+    /// Queues a command whose answer is read, checked and dropped before that of the next one.
+    pub fn skip(&mut self, command: &command::UpstreamCommand) {
+        self.link.queue(command);
+        self.unread += 1;
+    }
+
+    /// Sends what was queued without waiting for the answers.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection is broken.
+    pub async fn send(&mut self) -> io::Result<()> {
+        self.link.flush().await
+    }
+
+    /// Sends commands in one packet and returns their answers in order.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection breaks, or if a command that only sets the connection up fails.
+    pub async fn exchange<const N: usize>(
+        &mut self,
+        commands: [&command::UpstreamCommand; N],
+    ) -> io::Result<[answers::UpstreamAnswer; N]> {
+        let guard = board::RunningGuard::new(rc::Rc::clone(&self.pool));
+        for command in commands {
+            self.link.queue(command);
+        }
+        self.link.flush().await?;
+        while self.unread > 0 {
+            let answer = self.link.receive().await?;
+            self.unread -= 1;
+            guard.heard();
+            if let Err(error) = &answer.result {
+                let text = format!(
+                    "setting up the connection failed: {} {}",
+                    error.code,
+                    String::from_utf8_lossy(&error.text)
+                );
+                return Err(io::Error::other(text));
+            }
+        }
+        let mut answers = Vec::with_capacity(N);
+        for _ in 0..N {
+            answers.push(self.link.receive().await?);
+            guard.heard();
+        }
+        let statement = commands.iter().any(|command| command.is_statement());
+        guard.finish(statement);
+        answers
+            .try_into()
+            .map_err(|_count| io::Error::other("wrong number of answers"))
+    }
+}
+
+impl<E: edge::NodeEdge> Drop for UpstreamSession<E> {
+    fn drop(&mut self) {
+        self.pool.closed();
+    }
+}
--- /dev/null
+++ b/src/node/writes.rs
@@ -0,0 +1,210 @@
+//! Single writes outside a transaction: at most one attempt may reach an upstream's log.
+
+use std::rc;
+
+use tokio::time::Instant;
+
+use crate::model::{ids, log_position};
+use crate::node::{
+    answers, attempt, board, command, config, edge, group, journal, limits, pool, request,
+    session_state, upstream_session,
+};
+
+/// A single write.
+#[derive(Clone, Debug)]
+pub struct WriteOrder {
+    /// The request.
+    pub request: request::CallerRequest,
+    /// What the session has set up.
+    pub session: rc::Rc<session_state::SessionState>,
+    /// The group that holds the database.
+    pub group: rc::Rc<group::GroupState>,
+    /// What the configuration says of the database.
+    pub route: config::DatabaseRoute,
+    /// When the write arrived.
+    pub started: Instant,
+}
+
+/// How a write ended.
+#[derive(Debug)]
+pub enum WriteEnd {
+    /// The upstream's answer, with the position of the commit if it succeeded.
+    Answered(
+        ids::UpstreamId,
+        answers::UpstreamAnswer,
+        Option<log_position::LogPosition>,
+    ),
+    /// Nothing has run.
+    NotRun(attempt::NotRun),
+    /// It may have run.
+    Unknown(ids::UpstreamId, String),
+}
+
+/// Waits for the primary of a group, at most until `limit`.
+pub async fn await_primary<E: edge::NodeEdge>(
+    board: &board::NodeBoard<E>,
+    group: &group::GroupState,
+    started: Instant,
+    route: &config::DatabaseRoute,
+) -> Option<rc::Rc<pool::UpstreamPool<E>>> {
+    let hold_limit = started + route.timeout.mul_f64(limits::HOLD_SHARE);
+    loop {
+        if let Some(pool) = board.primary_pool(group)
+            && !pool.is_suspect()
+        {
+            return Some(pool);
+        }
+        if Instant::now() >= hold_limit {
+            return None;
+        }
+        tokio::select! {
+            () = board.changed.notified() => {}
+            () = tokio::time::sleep(limits::ROUTE_PAUSE) => {}
+        }
+    }
+}
+
+/// Runs a write.
+pub async fn run<E: edge::NodeEdge>(
+    board: &rc::Rc<board::NodeBoard<E>>,
+    order: &WriteOrder,
+) -> WriteEnd {
+    let hold_limit = order.started + order.route.timeout.mul_f64(limits::HOLD_SHARE);
+    let mut last = attempt::NotRun::NoUpstream;
+    loop {
+        let primary = await_primary(board, &order.group, order.started, &order.route).await;
+        let Some(pool) = primary else {
+            return WriteEnd::NotRun(last);
+        };
+        let session = match pool.acquire(order.route.priority, hold_limit).await {
+            Ok(session) => session,
+            Err(pool::AcquireError::Late) => {
+                return WriteEnd::NotRun(attempt::NotRun::NoConnection);
+            }
+            Err(pool::AcquireError::Moved) => {
+                last = attempt::NotRun::Moved;
+                if Instant::now() >= hold_limit {
+                    return WriteEnd::NotRun(last);
+                }
+                tokio::time::sleep(limits::ROUTE_PAUSE).await;
+                continue;
+            }
+        };
+        if !order.group.is_primary(pool.upstream()) {
+            pool.release(session);
+            continue;
+        }
+        let limit = order.started + order.route.timeout;
+        let work = Box::pin(send(rc::Rc::clone(&pool), session, order.clone()));
+        let end = finish_by(work, limit, pool.upstream()).await;
+        let WriteEnd::NotRun(reason) = end else {
+            return end;
+        };
+        last = reason;
+        journal::warn(
+            "write_retried",
+            &[
+                ("request", &order.request.id_text()),
+                ("upstream", pool.upstream()),
+                ("reason", &reason),
+            ],
+        );
+        metrics::counter!("persimmontack_retries_total", "reason" => reason.to_string())
+            .increment(1);
+        if reason == attempt::NotRun::NotPrimary && order.group.is_primary(pool.upstream()) {
+            board.set_primary(&order.group, None, "refused_write");
+        }
+        if Instant::now() >= hold_limit {
+            return WriteEnd::NotRun(last);
+        }
+        tokio::time::sleep(limits::BUSY_PAUSE).await;
+    }
+}
+
+/// Waits for the end of a write until `limit`. The upstream is not interrupted after that: its
+/// answer is read and dropped, and the connection kept.
+async fn finish_by(
+    mut work: std::pin::Pin<Box<impl Future<Output = WriteEnd> + 'static>>,
+    limit: Instant,
+    upstream: &str,
+) -> WriteEnd {
+    match tokio::time::timeout_at(limit, &mut work).await {
+        Ok(end) => end,
+        Err(_elapsed) => {
+            tokio::task::spawn_local(tokio::time::timeout(limits::LEFTOVER_TIMEOUT, work));
+            WriteEnd::Unknown(upstream.to_owned(), "no answer in time".to_owned())
+        }
+    }
+}
+
+async fn send<E: edge::NodeEdge>(
+    pool: rc::Rc<pool::UpstreamPool<E>>,
+    mut session: upstream_session::UpstreamSession<E>,
+    order: WriteOrder,
+) -> WriteEnd {
+    let Some(command) = session.set_up(&order.session, &order.request, None) else {
+        return WriteEnd::NotRun(attempt::NotRun::NotPrepared);
+    };
+    match commit_exchange(&pool, &order.group, &mut session, &command).await {
+        Ok(answer) => {
+            let position = answer.position.filter(|_| answer.result.is_ok());
+            match answer.error_code().and_then(attempt::not_run) {
+                Some(attempt::NotRun::NotPrepared) => {
+                    // The connection is not in the state that it should be in, so it is closed.
+                    drop(session);
+                    WriteEnd::NotRun(attempt::NotRun::NotPrepared)
+                }
+                Some(reason) => {
+                    pool.release(session);
+                    WriteEnd::NotRun(reason)
+                }
+                None => {
+                    pool.release(session);
+                    WriteEnd::Answered(pool.upstream().clone(), answer, position)
+                }
+            }
+        }
+        Err(error) => WriteEnd::Unknown(pool.upstream().clone(), error.to_string()),
+    }
+}
+
+/// Sends a command that commits, and records what its answer proves: a commit that succeeds shows
+/// that the upstream leads, and how far its log reaches.
+///
+/// # Errors
+///
+/// Fails if the connection breaks; the command may have run then.
+pub async fn commit_exchange<E: edge::NodeEdge>(
+    pool: &rc::Rc<pool::UpstreamPool<E>>,
+    group: &rc::Rc<group::GroupState>,
+    session: &mut upstream_session::UpstreamSession<E>,
+    command: &command::UpstreamCommand,
+) -> std::io::Result<answers::UpstreamAnswer> {
+    let asked = crate::node::boot_clock::now();
+    let watch = CommitWatch {
+        group: rc::Rc::clone(group),
+        number: group.commit_sent(board::steady_now()),
+    };
+    let [answer] = session.exchange([command]).await?;
+    pool.note_position(answer.position);
+    if answer.result.is_ok()
+        && let Some(position) = answer.position
+    {
+        group.confirm(pool.upstream(), asked, position);
+        group.commit_ended(watch.number, Some(position), board::steady_now());
+    }
+    Ok(answer)
+}
+
+/// Counts a commit as under way until it is answered or given up.
+struct CommitWatch {
+    group: rc::Rc<group::GroupState>,
+    number: group::CommitNumber,
+}
+
+impl Drop for CommitWatch {
+    fn drop(&mut self) {
+        self.group
+            .commit_ended(self.number, None, board::steady_now());
+    }
+}
