Keep replicas that leave from receiving, and check claims before acting on them

Also seen in the logs: a commit stall was judged by lost answers alone (false promotion at 8.3 s); an entry of a replaced primary flipped the lead back for 50 ms when its zone returned; VMs that the store turned away went on asking the dark primary for 4 s; callers before the first configuration were told that their database does not exist. Ruled out: the comparison of the two fenced replicas, which was right for what they held. Change: replicas that leave are fenced as long as another one stays; a stall is checked by the logs of primary and replicas; a listed primary is asked before it replaces one that answers; all upstreams are probed while the primary is silent; callers wait for the first configuration; idle connections beyond one are closed after 1.5 s; VMs in the data centre of the silent primary decide last.

--- a/src/node/board.rs
+++ b/src/node/board.rs
@@ -9,7 +9,7 @@
 
 use crate::decide::{ownership, retry_budget};
 use crate::model::ids;
-use crate::node::{config, edge, group, journal, limits, pool, upstream_entry};
+use crate::node::{config, edge, group, journal, limits, monitor, pool, upstream_entry};
 
 thread_local! {
     static START: tokio::time::Instant = tokio::time::Instant::now();
@@ -33,7 +33,7 @@
     config: cell::RefCell<Option<rc::Rc<config::NodeConfig>>>,
     pools: cell::RefCell<collections::BTreeMap<ids::UpstreamId, rc::Rc<pool::UpstreamPool<E>>>>,
     groups: cell::RefCell<collections::BTreeMap<ids::GroupId, rc::Rc<group::GroupState>>>,
-    members: cell::RefCell<collections::BTreeSet<ids::VmId>>,
+    members: cell::RefCell<collections::BTreeMap<ids::VmId, ids::DataCentreId>>,
     /// Bounds second attempts.
     pub budget: cell::RefCell<retry_budget::RetryBudget>,
     /// Wakes what waits for a change of the tables.
@@ -125,7 +125,10 @@
                 self.pools.borrow_mut().insert(upstream.clone(), pool);
             }
         }
-        if became {
+        if became && self.has_primary(&group) {
+            // The entry may be that of a primary that was replaced while it was cut off.
+            monitor::verify_lead(self, &group, &upstream);
+        } else if became {
             self.set_primary(&group, Some(&upstream), "listed");
         } else if resigned && group.is_primary(&upstream) {
             self.set_primary(&group, None, "resigned");
@@ -203,6 +206,13 @@
         self.pool(&group.primary()?)
     }
 
+    /// Tells whether a group has a primary that answers.
+    #[must_use]
+    pub fn has_primary(&self, group: &group::GroupState) -> bool {
+        self.primary_pool(group)
+            .is_some_and(|pool| !pool.is_suspect())
+    }
+
     /// Returns the state of a group, which is created if it is new.
     pub fn group(&self, group: &str) -> rc::Rc<group::GroupState> {
         if let Some(state) = self.groups.borrow().get(group) {
@@ -231,8 +241,12 @@
     }
 
     /// Adds a VM to the members.
-    pub fn add_member(&self, member: &str) {
-        if self.members.borrow_mut().insert(member.to_owned()) {
+    pub fn add_member(&self, member: &str, data_centre: &str) {
+        let before = self
+            .members
+            .borrow_mut()
+            .insert(member.to_owned(), data_centre.to_owned());
+        if before.is_none() {
             journal::info(
                 "member_joined",
                 &[("vm", &member), ("members", &self.member_count())],
@@ -242,7 +256,7 @@
 
     /// Takes a VM out of the members.
     pub fn remove_member(&self, member: &str) {
-        if self.members.borrow_mut().remove(member) {
+        if self.members.borrow_mut().remove(member).is_some() {
             journal::info(
                 "member_left",
                 &[("vm", &member), ("members", &self.member_count())],
@@ -250,9 +264,9 @@
         }
     }
 
-    /// Returns the members.
+    /// Returns the members with their data centres.
     #[must_use]
-    pub fn members(&self) -> collections::BTreeSet<ids::VmId> {
+    pub fn members(&self) -> collections::BTreeMap<ids::VmId, ids::DataCentreId> {
         self.members.borrow().clone()
     }
 
@@ -260,7 +274,7 @@
     #[must_use]
     pub fn member_count(&self) -> u32 {
         let members = self.members.borrow();
-        let own = u32::from(!members.contains(&self.node));
+        let own = u32::from(!members.contains_key(&self.node));
         (u32::try_from(members.len()).unwrap_or(u32::MAX) + own).max(1)
     }
 
@@ -274,15 +288,25 @@
         (most.saturating_sub(limits::RESERVED_CONNECTIONS) / self.member_count()).max(1)
     }
 
-    /// Returns this VM's place in the order in which VMs decide on a group.
+    /// Returns this VM's place in the order in which VMs decide on a group. VMs in the data centre
+    /// of its primary come last: whatever took the primary may have taken them too.
     #[must_use]
-    pub fn decision_rank(&self, group: &str) -> u32 {
-        let own = ownership::score(group, &self.node);
+    pub fn decision_rank(&self, group: &group::GroupState) -> u32 {
+        let primary = self
+            .primary_pool(group)
+            .map(|pool| pool.read_entry(|entry| entry.data_centre.clone()));
+        let order = |member: &str, data_centre: &str| {
+            let far = primary.as_deref() != Some(data_centre);
+            (far, ownership::score(&group.group, member))
+        };
+        let own = order(&self.node, &self.data_centre);
         let before = self
             .members
             .borrow()
             .iter()
-            .filter(|member| **member != self.node && ownership::score(group, member) > own)
+            .filter(|(member, data_centre)| {
+                **member != self.node && order(member, data_centre) > own
+            })
             .count();
         u32::try_from(before).unwrap_or(u32::MAX)
     }
--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -106,7 +106,7 @@
                 edge::ControlChange::Upstream(entry) => {
                     upstreams.insert(entry.upstream.clone());
                 }
-                edge::ControlChange::Member(vm) => {
+                edge::ControlChange::Member(vm, _data_centre) => {
                     members.insert(vm.clone());
                 }
                 edge::ControlChange::Config(_)
@@ -121,7 +121,7 @@
                 self.apply(edge::ControlChange::UpstreamGone(pool.upstream().clone()));
             }
         }
-        for member in self.board.members() {
+        for member in self.board.members().into_keys() {
             if !members.contains(&member) {
                 self.apply(edge::ControlChange::MemberGone(member));
             }
@@ -151,9 +151,9 @@
                     self.vanish(Vanished::Upstream(upstream));
                 }
             }
-            edge::ControlChange::Member(vm) => {
+            edge::ControlChange::Member(vm, data_centre) => {
                 self.vanished.remove(&Vanished::Member(vm.clone()));
-                self.board.add_member(&vm);
+                self.board.add_member(&vm, &data_centre);
             }
             edge::ControlChange::MemberGone(vm) => self.vanish(Vanished::Member(vm)),
             edge::ControlChange::Decision(group, revision, vm) => {
@@ -212,13 +212,20 @@
     }
 }
 
+async fn join<E: edge::NodeEdge>(
+    board: &board::NodeBoard<E>,
+) -> Result<E::Lease, edge::StoreError> {
+    let ttl = limits::MEMBER_TTL;
+    board.edge.join(&board.node, &board.data_centre, ttl).await
+}
+
 /// Keeps this VM's entry in the store alive as long as the node runs.
 pub async fn stay_member<E: edge::NodeEdge>(board: rc::Rc<board::NodeBoard<E>>) {
     let mut lease: Option<E::Lease> = None;
     loop {
         let result = match &lease {
             Some(lease) => board.edge.renew(lease).await,
-            None => match board.edge.join(&board.node, limits::MEMBER_TTL).await {
+            None => match join(&board).await {
                 Ok(joined) => {
                     journal::info("membership_joined", &[("vm", &board.node)]);
                     lease = Some(joined);
--- a/src/node/edge.rs
+++ b/src/node/edge.rs
@@ -96,8 +96,8 @@
     Upstream(upstream_entry::UpstreamEntry),
     /// An upstream's entry was removed.
     UpstreamGone(ids::UpstreamId),
-    /// A VM's entry.
-    Member(ids::VmId),
+    /// A VM's entry, with its data centre.
+    Member(ids::VmId, ids::DataCentreId),
     /// A VM's entry was removed.
     MemberGone(ids::VmId),
     /// A VM has begun a decision on the primary of a group.
@@ -154,6 +154,7 @@
     fn join(
         &self,
         node: &str,
+        data_centre: &str,
         ttl: time::Duration,
     ) -> impl Future<Output = Result<Self::Lease, StoreError>>;
 
--- a/src/node/failover.rs
+++ b/src/node/failover.rs
@@ -36,6 +36,11 @@
     trouble: monitor::GroupTrouble,
 ) -> DecisionEnd {
     let started = Instant::now();
+    if trouble == monitor::GroupTrouble::Stalled
+        && let Some(primary) = replicating_primary(board, group).await
+    {
+        return DecisionEnd::Kept(primary);
+    }
     let claim = board
         .edge
         .claim_decision(&group.group, &board.node, group.decision())
@@ -76,6 +81,38 @@
     end
 }
 
+/// Returns the primary whose commits seem to hang, if its replicas receive what it writes: then
+/// only answers were lost, and another primary would not help.
+async fn replicating_primary<E: edge::NodeEdge>(
+    board: &rc::Rc<board::NodeBoard<E>>,
+    group: &rc::Rc<group::GroupState>,
+) -> Option<ids::UpstreamId> {
+    let primary = board.primary_pool(group)?;
+    let head = probe::ask_status(&primary, &command::UpstreamCommand::Status).await?;
+    tokio::time::sleep(limits::STALL_CHECK).await;
+    let pools = board.pools_of(&group.group);
+    let asked = pools
+        .iter()
+        .filter(|pool| pool.upstream() != primary.upstream() && !pool.is_suspect())
+        .map(|pool| probe::ask_status(pool, &command::UpstreamCommand::Status));
+    let statuses = future::join_all(asked).await;
+    let received = statuses
+        .into_iter()
+        .flatten()
+        .map(|status| status.received)
+        .max();
+    journal::info(
+        "stall_checked",
+        &[
+            ("group", &group.group),
+            ("primary", primary.upstream()),
+            ("head", &head.received),
+            ("received", &position_text(received)),
+        ],
+    );
+    (received >= Some(head.received)).then(|| primary.upstream().clone())
+}
+
 struct Decision<'a, E: edge::NodeEdge> {
     board: &'a rc::Rc<board::NodeBoard<E>>,
     group: &'a rc::Rc<group::GroupState>,
@@ -87,13 +124,13 @@
 
 impl<E: edge::NodeEdge> Decision<'_, E> {
     async fn fail_over(&mut self, trouble: monitor::GroupTrouble) -> DecisionEnd {
+        if trouble != monitor::GroupTrouble::Stalled
+            && let Some(kept) = self.find_primary().await
+        {
+            return DecisionEnd::Kept(kept);
+        }
         loop {
             let old = self.group.primary();
-            if trouble != monitor::GroupTrouble::Stalled
-                && let Some(kept) = self.find_primary().await
-            {
-                return DecisionEnd::Kept(kept);
-            }
             let candidates = self.fence_all_but(old.as_deref(), None).await;
             let choice = promotion::choose_failover(&candidates, self.group.acknowledged());
             self.report(&choice, &candidates, None);
@@ -265,7 +302,11 @@
                     self.fenced.push(rc::Rc::clone(pool));
                 }
             }
-            candidates.push(candidate);
+            // A replica that receives nothing under this primary has acknowledged nothing of it.
+            let cut_off = old.is_some_and(|old| pool.is_fenced_under(old));
+            if candidate.fenced || !(candidate.leaving && cut_off) {
+                candidates.push(candidate);
+            }
         }
         candidates
     }
@@ -336,6 +377,7 @@
         let asked = self
             .fenced
             .iter()
+            .filter(|pool| !pool.read_entry(|entry| entry.leaving))
             .map(|pool| probe::ask_status(pool, &command::UpstreamCommand::Unfence));
         future::join_all(asked).await;
     }
--- a/src/node/limits.rs
+++ b/src/node/limits.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 
 /// Time without an answer after which an upstream is probed.
-pub const PROBE_AFTER: Duration = Duration::from_millis(120);
+pub const PROBE_AFTER: Duration = Duration::from_millis(90);
 /// Time without an answer, probes included, after which an upstream counts as silent.
-pub const SILENT_AFTER: Duration = Duration::from_millis(350);
+pub const SILENT_AFTER: Duration = Duration::from_millis(270);
 /// Time within which a new connection to an upstream has to be ready.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(900);
 /// Pause before a new connection after one was refused or failed.
@@ -15,6 +15,17 @@
 /// Time that an answer may still take after its request was given up, before the connection is
 /// closed.
 pub const LEFTOVER_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time after which an idle connection to an upstream is closed, if another one is open.
+pub const IDLE_CONNECTION: Duration = Duration::from_millis(1_500);
+/// Period at which an upstream that is leaving is kept from receiving.
+pub const FENCE_INTERVAL: Duration = Duration::from_millis(500);
+/// Gap between two ticks of the monitor after which what it saw before is not trusted: the process
+/// itself did not run.
+pub const STALL_GAP: Duration = Duration::from_millis(200);
+/// Pause between two looks at the logs of a primary whose commits hang, and of its replicas.
+pub const STALL_CHECK: Duration = Duration::from_millis(100);
+/// Time for which a new caller waits for the first configuration.
+pub const FIRST_CONFIG: Duration = Duration::from_millis(1_500);
 /// Connections of an upstream that no VM uses for statements.
 pub const RESERVED_CONNECTIONS: u32 = 3;
 /// Shortest time after which a second attempt of a read starts beside the first.
@@ -43,7 +54,7 @@
 /// Time within which a probe has to be answered.
 pub const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time for which a group has to lack a primary before the first VM in rank decides.
-pub const FAILOVER_AFTER: Duration = Duration::from_millis(100);
+pub const FAILOVER_AFTER: Duration = Duration::from_millis(40);
 /// Additional patience of each further VM in rank.
 pub const RANK_DELAY: Duration = Duration::from_millis(150);
 /// Time for which commits have to hang, with no commit succeeding, before a primary counts as
--- a/src/node/monitor.rs
+++ b/src/node/monitor.rs
@@ -29,16 +29,34 @@
 ) {
     let probing = rc::Rc::new(ProbeTable::default());
     let mut since: Option<(GroupTrouble, time::Duration)> = None;
+    let mut last_tick = board::steady_now();
+    let mut last_fence = time::Duration::ZERO;
     loop {
         tokio::time::sleep(limits::MONITOR_TICK).await;
         let now = board::steady_now();
+        let gap = now.saturating_sub(last_tick);
+        last_tick = now;
+        let led = board.has_primary(&group);
         for pool in board.pools_of(&group.group) {
             pool.open_first();
-            if pool.health.get().wants_probe(now) || group.primary().is_none() {
+            pool.trim();
+            if pool.health.get().wants_probe(now) || !led {
                 spawn_probe(&board, &group, &pool, &probing);
             }
         }
         refresh_position(&board, &group, &probing);
+        if now.saturating_sub(last_fence) >= limits::FENCE_INTERVAL {
+            last_fence = now;
+            fence_leaving(&board, &group);
+        }
+        if gap > limits::STALL_GAP {
+            journal::info(
+                "process_stalled",
+                &[("group", &group.group), ("gap_ms", &gap.as_millis())],
+            );
+            since = None;
+            continue;
+        }
         let Some(trouble) = trouble(&board, &group, now) else {
             since = None;
             continue;
@@ -81,7 +99,7 @@
     begun: time::Duration,
     now: time::Duration,
 ) -> bool {
-    let rank = board.decision_rank(&group.group);
+    let rank = board.decision_rank(group);
     let patience = limits::FAILOVER_AFTER + limits::RANK_DELAY * rank;
     let is_recent = |moment: Option<time::Duration>, span: time::Duration| {
         moment.is_some_and(|moment| now.saturating_sub(moment) < span)
@@ -118,6 +136,69 @@
     });
 }
 
+/// Keeps replicas that are leaving from receiving, so that commits are acknowledged by replicas
+/// that stay. A log that goes away with its upstream must not be the only copy of a commit.
+fn fence_leaving<E: edge::NodeEdge>(
+    board: &rc::Rc<board::NodeBoard<E>>,
+    group: &rc::Rc<group::GroupState>,
+) {
+    let Some(primary) = group.primary() else {
+        return;
+    };
+    let pools = board.pools_of(&group.group);
+    let is_leaving = |pool: &pool::UpstreamPool<E>| pool.read_entry(|entry| entry.leaving);
+    let stays = |pool: &pool::UpstreamPool<E>| {
+        *pool.upstream() != primary && !is_leaving(pool) && !pool.is_suspect()
+    };
+    if group.is_deciding() || !pools.iter().any(|pool| stays(pool)) {
+        return;
+    }
+    for pool in pools {
+        if !is_leaving(&pool) || *pool.upstream() == primary || pool.is_suspect() {
+            continue;
+        }
+        let primary = primary.clone();
+        let group = rc::Rc::clone(group);
+        tokio::task::spawn_local(async move {
+            let Some(status) = probe::fence(&pool, group.term() + 1).await else {
+                return;
+            };
+            group.note_term(status.term);
+            if status.primary || status.fenced == 0 || pool.is_fenced_under(&primary) {
+                return;
+            }
+            journal::info(
+                "leaving_replica_fenced",
+                &[
+                    ("upstream", pool.upstream()),
+                    ("primary", &primary),
+                    ("received", &status.received),
+                ],
+            );
+            pool.note_fenced(Some(primary));
+        });
+    }
+}
+
+/// Asks an upstream whether it leads, and takes it as the primary if it does.
+pub fn verify_lead<E: edge::NodeEdge>(
+    board: &rc::Rc<board::NodeBoard<E>>,
+    group: &rc::Rc<group::GroupState>,
+    upstream: &str,
+) {
+    let Some(pool) = board.pool(upstream) else {
+        return;
+    };
+    let board = rc::Rc::clone(board);
+    let group = rc::Rc::clone(group);
+    tokio::task::spawn_local(async move {
+        let answer = probe::ask_lead(&pool, &group, false).await;
+        if matches!(answer, probe::LeadAnswer::Leads(_)) {
+            board.set_primary(&group, Some(pool.upstream()), "listed");
+        }
+    });
+}
+
 /// Upstreams that have a probe under way.
 #[derive(Debug, Default)]
 struct ProbeTable {
--- a/src/node/pool.rs
+++ b/src/node/pool.rs
@@ -29,7 +29,8 @@
     board: rc::Weak<board::NodeBoard<E>>,
     upstream: ids::UpstreamId,
     entry: cell::RefCell<upstream_entry::UpstreamEntry>,
-    idle: cell::RefCell<Vec<upstream_session::UpstreamSession<E>>>,
+    /// The one that was used last comes last, with the time of its return.
+    idle: cell::RefCell<Vec<(Instant, upstream_session::UpstreamSession<E>)>>,
     waiting: cell::RefCell<collections::BTreeMap<(u8, u64), Waiter<E>>>,
     sequence: cell::Cell<u64>,
     open: cell::Cell<u32>,
@@ -40,6 +41,8 @@
     pub health: cell::Cell<health::UpstreamHealth>,
     applied: cell::Cell<Option<log_position::LogPosition>>,
     lag_seen: cell::Cell<Option<time::Duration>>,
+    /// Primary under which the upstream was fenced because it is leaving.
+    fenced_under: cell::RefCell<Option<ids::UpstreamId>>,
 }
 
 impl<E: edge::NodeEdge> std::fmt::Debug for UpstreamPool<E> {
@@ -73,6 +76,7 @@
             health: cell::Cell::default(),
             applied: cell::Cell::default(),
             lag_seen: cell::Cell::default(),
+            fenced_under: cell::RefCell::default(),
         })
     }
 
@@ -155,6 +159,24 @@
             .is_some_and(|seen| now.saturating_sub(seen) < limits::LAG_PAUSE)
     }
 
+    /// Notes that the upstream receives nothing any more as long as `primary` leads.
+    pub fn note_fenced(&self, primary: Option<ids::UpstreamId>) {
+        *self.fenced_under.borrow_mut() = primary;
+    }
+
+    /// Tells whether the upstream is known to have received nothing since `primary` leads.
+    #[must_use]
+    pub fn is_fenced_under(&self, primary: &str) -> bool {
+        self.fenced_under.borrow().as_deref() == Some(primary)
+    }
+
+    /// Tells whether there is no connection and none may be opened yet.
+    #[must_use]
+    pub fn is_shut(&self) -> bool {
+        let paused = |moment: Instant| Instant::now() < moment;
+        self.open.get() == 0 && self.not_before.get().is_some_and(paused)
+    }
+
     /// Closes idle connections and sends everything that waits elsewhere.
     pub fn retire(&self) {
         self.gone.set(true);
@@ -171,7 +193,7 @@
     /// Returns an idle connection, if there is one.
     pub fn take_idle(&self) -> Option<upstream_session::UpstreamSession<E>> {
         loop {
-            let mut session = self.idle.borrow_mut().pop()?;
+            let (_since, mut session) = self.idle.borrow_mut().pop()?;
             if !session.is_stale() {
                 return Some(session);
             }
@@ -232,6 +254,19 @@
         }
     }
 
+    /// Closes connections that were not needed for a while, all but one. A VM that loses power
+    /// holds its connections for seconds, and they count against the limit of the upstream.
+    pub fn trim(&self) {
+        let mut idle = self.idle.borrow_mut();
+        let kept = idle
+            .iter()
+            .position(|(since, _)| since.elapsed() < limits::IDLE_CONNECTION)
+            .unwrap_or_else(|| idle.len().saturating_sub(1));
+        let unused: Vec<_> = idle.drain(..kept).collect();
+        drop(idle);
+        drop(unused);
+    }
+
     /// Closes the idle connections.
     pub fn drop_idle(&self) {
         let idle = std::mem::take(&mut *self.idle.borrow_mut());
@@ -253,7 +288,7 @@
                 Err(returned) => session = returned,
             }
         }
-        self.idle.borrow_mut().push(session);
+        self.idle.borrow_mut().push((Instant::now(), session));
     }
 
     fn share(&self) -> u32 {
--- a/src/node/reads.rs
+++ b/src/node/reads.rs
@@ -70,7 +70,7 @@
                 let lagging = !primary && pool.lagged(now);
                 choose::ReadCandidate {
                     remote,
-                    avoid: unusable || health.is_suspect(now) || lagging,
+                    avoid: unusable || health.is_suspect(now) || lagging || pool.is_shut(),
                     tried: tried.contains(pool.upstream()),
                     load: health.running() + u32::try_from(pool.waiting()).unwrap_or(u32::MAX),
                     usual: health.usual(),
@@ -268,9 +268,9 @@
                 board.set_primary(&plan.group, None, "refused_lead");
             }
         }
+        attempt::NotRun::Moved => tokio::time::sleep(limits::ROUTE_PAUSE / 3).await,
         attempt::NotRun::NoUpstream
         | attempt::NotRun::NoConnection
-        | attempt::NotRun::Moved
         | attempt::NotRun::Lagging
         | attempt::NotRun::NotPrepared => {}
     }
--- a/src/node/session.rs
+++ b/src/node/session.rs
@@ -20,10 +20,16 @@
         Ok(database) => database,
         Err(error) => return reject(&mut link, error).await,
     };
-    let known = board
-        .config()
-        .is_some_and(|config| config.routes.contains_key(&database));
-    if !known {
+    let Some(config) = first_config(&board).await else {
+        journal::warn(
+            "caller_refused",
+            &[("database", &database), ("reason", &"no_config")],
+        );
+        let text = come_back(&"no configuration yet");
+        let error = answers::StatementError::new(answers::ErrorCode::Busy, text);
+        return link.reject(&error).await;
+    };
+    if !config.routes.contains_key(&database) {
         journal::warn(
             "caller_refused",
             &[("database", &database), ("reason", &"no_database")],
@@ -48,6 +54,20 @@
     drop(count);
 }
 
+/// Waits for the first configuration, since a caller may come before it.
+async fn first_config<E: edge::NodeEdge>(
+    board: &board::NodeBoard<E>,
+) -> Option<rc::Rc<config::NodeConfig>> {
+    let limit = Instant::now() + limits::FIRST_CONFIG;
+    while Instant::now() < limit {
+        if let Some(config) = board.config() {
+            return Some(config);
+        }
+        tokio::time::sleep(limits::ROUTE_PAUSE).await;
+    }
+    None
+}
+
 async fn reject<C: edge::CallerLink>(link: &mut C, error: edge::CallerError) {
     match error {
         edge::CallerError::Closed => {}
