--- a/src/node/attempt.rs
+++ b/src/node/attempt.rs
@@ -18,6 +18,8 @@
     NoUpstream,
     /// No connection was free in time.
     NoConnection,
+    /// So much waits for the upstream that it could not be useful in time.
+    Crowded,
     /// The upstream was replaced, is gone or refuses connections.
     Moved,
     /// The upstream had no slot for it.
@@ -65,6 +67,7 @@
 pub const fn no_connection(error: pool::AcquireError) -> NotRun {
     match error {
         pool::AcquireError::Late => NotRun::NoConnection,
+        pool::AcquireError::Crowded => NotRun::Crowded,
         pool::AcquireError::Moved => NotRun::Moved,
     }
 }
@@ -76,9 +79,9 @@
     pub request: request::CallerRequest,
     /// What the session has set up.
     pub session: rc::Rc<session_state::SessionState>,
-    /// Order among waiting statements.
-    pub priority: u8,
-    /// When the attempt has to end.
+    /// When it has to have a connection.
+    pub terms: pool::WaitTerms,
+    /// When it is answered at the latest.
     pub limit: Instant,
 }
 
@@ -88,7 +91,7 @@
     order: rc::Rc<ReadOrder>,
     floor: log_position::LogPosition,
 ) -> AttemptEnd {
-    let mut session = match pool.acquire(order.priority, order.limit).await {
+    let mut session = match pool.acquire(order.terms).await {
         Ok(session) => session,
         Err(error) => return AttemptEnd::NotRun(no_connection(error)),
     };
@@ -107,7 +110,7 @@
     group: rc::Rc<group::GroupState>,
     order: rc::Rc<ReadOrder>,
 ) -> AttemptEnd {
-    let mut session = match pool.acquire(order.priority, order.limit).await {
+    let mut session = match pool.acquire(order.terms).await {
         Ok(session) => session,
         Err(error) => return AttemptEnd::NotRun(no_connection(error)),
     };
--- a/src/node/board.rs
+++ b/src/node/board.rs
@@ -355,6 +355,9 @@
         let now = steady_now();
         let elapsed = statement.then(|| now.saturating_sub(self.started));
         self.pool.note(|health| health.answered(now, elapsed));
+        if elapsed.is_some() {
+            self.pool.note_load(elapsed);
+        }
     }
 }
 
--- a/src/node/config.rs
+++ b/src/node/config.rs
@@ -4,6 +4,7 @@
 use std::time;
 
 use crate::model::ids;
+use crate::node::{limits, pool};
 
 /// Number of a configuration. A higher one replaces a lower one; a node never goes back.
 pub type ConfigVersion = u64;
@@ -37,6 +38,18 @@
     pub priority: u8,
 }
 
+impl DatabaseRoute {
+    /// Returns when a statement that arrived at `started` has to have a connection.
+    #[must_use]
+    pub fn wait_terms(&self, started: tokio::time::Instant) -> pool::WaitTerms {
+        pool::WaitTerms {
+            priority: self.priority,
+            fresh_until: started + self.goal,
+            limit: started + self.timeout.mul_f64(limits::HOLD_SHARE),
+        }
+    }
+}
+
 /// Limits of a group of upstreams.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct GroupLimits {
--- a/src/node/limits.rs
+++ b/src/node/limits.rs
@@ -37,7 +37,7 @@
 /// Pause before a statement that an upstream was too busy for is tried again.
 pub const BUSY_PAUSE: Duration = Duration::from_millis(12);
 /// Time for which an upstream that lacked a position gets no other read.
-pub const LAG_PAUSE: Duration = Duration::from_millis(40);
+pub const LAG_PAUSE: Duration = Duration::from_millis(80);
 /// Pause between looks at the tables while nothing can serve a statement.
 pub const ROUTE_PAUSE: Duration = Duration::from_millis(15);
 /// Part of a statement's timeout that it may wait for an upstream; after it the caller is told
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -32,4 +32,5 @@
 pub mod transaction;
 pub mod upstream_entry;
 pub mod upstream_session;
+pub mod window;
 pub mod writes;
--- a/src/node/pool.rs
+++ b/src/node/pool.rs
@@ -9,7 +9,7 @@
 use tokio::time::Instant;
 
 use crate::model::{ids, log_position};
-use crate::node::{board, edge, health, journal, limits, upstream_entry, upstream_session};
+use crate::node::{board, edge, health, journal, limits, upstream_entry, upstream_session, window};
 
 /// Why no connection could be had.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
@@ -17,11 +17,30 @@
 pub enum AcquireError {
     /// The time was up.
     Late,
+    /// So much waits already that it cannot be useful in time.
+    Crowded,
     /// The upstream is gone, is not the primary any more, or refuses connections.
     Moved,
 }
 
-type Waiter<E> = oneshot::Sender<upstream_session::UpstreamSession<E>>;
+/// Place in the queue of a pool: priority, then arrival.
+type QueuePlace = (u8, u64);
+
+struct Waiter<E: edge::NodeEdge> {
+    sender: oneshot::Sender<upstream_session::UpstreamSession<E>>,
+    fresh_until: Instant,
+}
+
+/// When a statement has to have its connection.
+#[derive(Clone, Copy, Debug)]
+pub struct WaitTerms {
+    /// Order among waiting statements; 0 goes first.
+    pub priority: u8,
+    /// Until when it is useful in full. After that it waits behind those that still are.
+    pub fresh_until: Instant,
+    /// When it stops waiting.
+    pub limit: Instant,
+}
 
 /// The connections of this VM to one upstream. Waiting statements get them by priority, and by
 /// arrival within one priority.
@@ -31,7 +50,10 @@
     entry: cell::RefCell<upstream_entry::UpstreamEntry>,
     /// The one that was used last comes last, with the time of its return.
     idle: cell::RefCell<Vec<(Instant, upstream_session::UpstreamSession<E>)>>,
-    waiting: cell::RefCell<collections::BTreeMap<(u8, u64), Waiter<E>>>,
+    waiting: cell::RefCell<collections::BTreeMap<QueuePlace, Waiter<E>>>,
+    window: cell::Cell<window::RequestWindow>,
+    /// Connections that statements outside a transaction hold.
+    lent: cell::Cell<u32>,
     sequence: cell::Cell<u64>,
     open: cell::Cell<u32>,
     connecting: cell::Cell<u32>,
@@ -68,6 +90,8 @@
             entry: cell::RefCell::new(entry),
             idle: cell::RefCell::default(),
             waiting: cell::RefCell::default(),
+            window: cell::Cell::default(),
+            lent: cell::Cell::default(),
             sequence: cell::Cell::default(),
             open: cell::Cell::default(),
             connecting: cell::Cell::default(),
@@ -201,38 +225,121 @@
         }
     }
 
-    /// Returns a connection, waiting until `limit` for one.
+    /// Returns a connection, waiting for one if need be.
     ///
     /// # Errors
     ///
-    /// Fails if the time is up or the upstream takes no more work.
+    /// Fails if the time is up or cannot be kept, or if the upstream takes no more work.
     pub async fn acquire(
         self: &rc::Rc<Self>,
-        priority: u8,
-        limit: Instant,
+        terms: WaitTerms,
     ) -> Result<upstream_session::UpstreamSession<E>, AcquireError> {
         if self.gone.get() {
             return Err(AcquireError::Moved);
         }
         if self.waiting.borrow().is_empty()
-            && let Some(session) = self.take_idle()
+            && self.lent.get() < self.window.get().size()
+            && let Some(mut session) = self.take_idle()
         {
+            session.set_lent(true);
             return Ok(session);
         }
+        if Instant::now() + self.expected_wait(terms.priority) > terms.fresh_until {
+            return Err(AcquireError::Crowded);
+        }
         let (sender, receiver) = oneshot::channel();
         let sequence = self.sequence.get();
         self.sequence.set(sequence + 1);
-        let key = (priority, sequence);
-        self.waiting.borrow_mut().insert(key, sender);
-        let _place = WaitingPlace { pool: self, key };
-        self.open_more();
-        match tokio::time::timeout_at(limit, receiver).await {
+        let place = (terms.priority, sequence);
+        let waiter = Waiter {
+            sender,
+            fresh_until: terms.fresh_until,
+        };
+        self.waiting.borrow_mut().insert(place, waiter);
+        let _leave = LeaveQueue { pool: self, place };
+        self.grant();
+        match tokio::time::timeout_at(terms.limit, receiver).await {
             Ok(Ok(session)) => Ok(session),
             Ok(Err(_turned_away)) => Err(AcquireError::Moved),
             Err(_elapsed) => Err(AcquireError::Late),
         }
     }
 
+    /// Returns the time until everything that waits before a new statement has run.
+    fn expected_wait(&self, priority: u8) -> time::Duration {
+        let before = self
+            .waiting
+            .borrow()
+            .keys()
+            .filter(|(other, _)| *other <= priority)
+            .count();
+        let usual = self.health.get().usual().unwrap_or_default();
+        usual.mul_f64(f64::from(u32::try_from(before).unwrap_or(u32::MAX)))
+            / self.window.get().size().min(self.share()).max(1)
+    }
+
+    /// Hands idle connections to what waits, and opens more if there are too few.
+    pub fn grant(self: &rc::Rc<Self>) {
+        while self.lent.get() < self.window.get().size() && !self.waiting.borrow().is_empty() {
+            let Some(mut session) = self.take_idle() else {
+                self.open_more();
+                return;
+            };
+            let Some(waiter) = self.next_waiter() else {
+                self.put_idle(session);
+                return;
+            };
+            session.set_lent(true);
+            if let Err(mut session) = waiter.sender.send(session) {
+                session.set_lent(false);
+                self.put_idle(session);
+            }
+        }
+    }
+
+    /// Takes the first waiting statement that is still useful in full, or the first of all.
+    fn next_waiter(&self) -> Option<Waiter<E>> {
+        let now = Instant::now();
+        let mut waiting = self.waiting.borrow_mut();
+        let place = waiting
+            .iter()
+            .find(|(_, waiter)| now < waiter.fresh_until)
+            .or_else(|| waiting.first_key_value())
+            .map(|(place, _)| *place)?;
+        waiting.remove(&place)
+    }
+
+    fn put_idle(&self, session: upstream_session::UpstreamSession<E>) {
+        self.idle.borrow_mut().push((Instant::now(), session));
+    }
+
+    /// Tells whether a statement would be sent at once.
+    #[must_use]
+    pub fn has_room(&self) -> bool {
+        self.waiting.borrow().is_empty() && self.lent.get() + 1 < self.window.get().size()
+    }
+
+    /// Counts a connection that a statement outside a transaction holds, or holds no longer.
+    pub fn count_lent(&self, lent: bool) {
+        let count = self.lent.get();
+        self.lent.set(if lent {
+            count + 1
+        } else {
+            count.saturating_sub(1)
+        });
+    }
+
+    /// Notes what an answer says of the load of the upstream.
+    pub fn note_load(&self, elapsed: Option<time::Duration>) {
+        let mut window = self.window.get();
+        window.bound(self.share());
+        match elapsed {
+            Some(elapsed) => window.answered(elapsed),
+            None => window.refused(),
+        }
+        self.window.set(window);
+    }
+
     /// Returns a connection for a probe at once, beyond this VM's share if need be; `fresh` asks
     /// for a new one.
     pub async fn acquire_for_probe(
@@ -274,21 +381,12 @@
     }
 
     /// Gives a connection back that is outside a transaction.
-    pub fn release(&self, mut session: upstream_session::UpstreamSession<E>) {
-        let keep = !self.gone.get() && !session.is_stale() && self.connections() <= self.share();
-        if !keep {
-            return;
-        }
-        loop {
-            let Some((_, waiter)) = self.waiting.borrow_mut().pop_first() else {
-                break;
-            };
-            match waiter.send(session) {
-                Ok(()) => return,
-                Err(returned) => session = returned,
-            }
+    pub fn release(self: &rc::Rc<Self>, mut session: upstream_session::UpstreamSession<E>) {
+        session.set_lent(false);
+        if !self.gone.get() && !session.is_stale() && self.connections() <= self.share() {
+            self.put_idle(session);
         }
-        self.idle.borrow_mut().push((Instant::now(), session));
+        self.grant();
     }
 
     fn share(&self) -> u32 {
@@ -410,13 +508,13 @@
 }
 
 /// Takes a statement out of the queue when it stops waiting.
-struct WaitingPlace<'a, E: edge::NodeEdge> {
+struct LeaveQueue<'a, E: edge::NodeEdge> {
     pool: &'a UpstreamPool<E>,
-    key: (u8, u64),
+    place: QueuePlace,
 }
 
-impl<E: edge::NodeEdge> Drop for WaitingPlace<'_, E> {
+impl<E: edge::NodeEdge> Drop for LeaveQueue<'_, E> {
     fn drop(&mut self) {
-        self.pool.waiting.borrow_mut().remove(&self.key);
+        self.pool.waiting.borrow_mut().remove(&self.place);
     }
 }
--- a/src/node/reads.rs
+++ b/src/node/reads.rs
@@ -152,6 +152,9 @@
             Some((upstream, attempt::AttemptEnd::NotRun(reason))) => {
                 note_retry(plan, &order, &upstream, &reason);
                 last_not_run = reason;
+                if reason == attempt::NotRun::Crowded && running.is_empty() {
+                    break ReadEnd::NotRun(reason);
+                }
                 after_not_run(board, plan, &upstream, reason).await;
             }
             Some((upstream, attempt::AttemptEnd::Broken(text))) => {
@@ -216,11 +219,9 @@
     let Some((pool, floor)) = plan.choose(board, tried) else {
         return;
     };
-    let repeated = tried.contains(pool.upstream());
-    if repeated && running.len() > 1 {
-        return;
-    }
-    if !silent && !board.budget.borrow_mut().take_retry(boot_clock::now()) {
+    // More work for an upstream at its limit makes every answer later.
+    let spare = pool.has_room() && running.len() < 2;
+    if !silent && !(spare && board.budget.borrow_mut().take_retry(boot_clock::now())) {
         return;
     }
     journal::warn(
@@ -271,6 +272,7 @@
         attempt::NotRun::Moved => tokio::time::sleep(limits::ROUTE_PAUSE / 3).await,
         attempt::NotRun::NoUpstream
         | attempt::NotRun::NoConnection
+        | attempt::NotRun::Crowded
         | attempt::NotRun::Lagging
         | attempt::NotRun::NotPrepared => {}
     }
--- a/src/node/session.rs
+++ b/src/node/session.rs
@@ -351,7 +351,7 @@
         let order = attempt::ReadOrder {
             request: request.clone(),
             session: rc::Rc::clone(&self.state),
-            priority: plan.route.priority,
+            terms: plan.route.wait_terms(started),
             limit: started + plan.route.timeout,
         };
         let end = reads::run(&self.board, &plan, order, started).await;
--- a/src/node/transaction.rs
+++ b/src/node/transaction.rs
@@ -266,13 +266,16 @@
                 continue;
             };
             tried.push(pool.upstream().clone());
-            match self.begin_at(&pool, floor, state, hold_limit).await {
+            match self.begin_at(&pool, floor, state, started).await {
                 Ok(session) => {
                     self.session = Some(session);
                     return Ok(());
                 }
                 Err(reason) => {
                     last = reason;
+                    if reason == attempt::NotRun::Crowded {
+                        break;
+                    }
                     let lost_lead = reason == attempt::NotRun::NotPrimary;
                     if lost_lead && self.plan.group.is_primary(pool.upstream()) {
                         board.set_primary(&self.plan.group, None, "refused_begin");
@@ -293,14 +296,12 @@
         pool: &rc::Rc<pool::UpstreamPool<E>>,
         floor: Option<log_position::LogPosition>,
         state: &session_state::SessionState,
-        limit: Instant,
+        started: Instant,
     ) -> Result<upstream_session::UpstreamSession<E>, attempt::NotRun> {
-        let mut session = pool
-            .acquire(self.plan.route.priority, limit)
-            .await
-            .map_err(attempt::no_connection)?;
+        let terms = self.plan.route.wait_terms(started);
+        let mut session = pool.acquire(terms).await.map_err(attempt::no_connection)?;
         session.match_values(state);
-        let limit = limit.min(Instant::now() + limits::SILENT_AFTER);
+        let limit = terms.limit.min(Instant::now() + limits::SILENT_AFTER);
         let begun = begin(&self.plan.group, &mut session, self.read_only, floor);
         match tokio::time::timeout_at(limit, begun).await {
             Ok(Ok(None)) => {
--- a/src/node/upstream_session.rs
+++ b/src/node/upstream_session.rs
@@ -21,6 +21,7 @@
     prepared: collections::HashMap<request::PreparedShape, command::PreparedNumber>,
     unread: u32,
     in_transaction: bool,
+    lent: bool,
 }
 
 impl<E: edge::NodeEdge> std::fmt::Debug for UpstreamSession<E> {
@@ -42,6 +43,7 @@
             prepared: collections::HashMap::new(),
             unread: 0,
             in_transaction: false,
+            lent: false,
         }
     }
 
@@ -51,9 +53,21 @@
         &self.pool
     }
 
-    /// Says whether a transaction is open; its connection is not cleared.
-    pub const fn set_in_transaction(&mut self, in_transaction: bool) {
+    /// Says whether a transaction is open. Its connection is not cleared, and does not count
+    /// against the window: its caller may pause for long.
+    pub fn set_in_transaction(&mut self, in_transaction: bool) {
         self.in_transaction = in_transaction;
+        if in_transaction {
+            self.set_lent(false);
+            self.pool.grant();
+        }
+    }
+
+    /// Says whether a statement outside a transaction holds the connection.
+    pub fn set_lent(&mut self, lent: bool) {
+        if std::mem::replace(&mut self.lent, lent) != lent {
+            self.pool.count_lent(lent);
+        }
     }
 
     /// Tells whether the connection was closed while it was idle.
@@ -173,7 +187,13 @@
             guard.heard();
         }
         let statement = commands.iter().any(|command| command.is_statement());
-        guard.finish(statement);
+        let busy = answers
+            .iter()
+            .any(|answer| answer.error_code() == Some(answers::ErrorCode::Busy));
+        guard.finish(statement && !busy);
+        if busy {
+            self.pool.note_load(None);
+        }
         answers
             .try_into()
             .map_err(|_count| io::Error::other("wrong number of answers"))
@@ -182,6 +202,7 @@
 
 impl<E: edge::NodeEdge> Drop for UpstreamSession<E> {
     fn drop(&mut self) {
+        self.set_lent(false);
         self.pool.closed();
     }
 }
--- a/src/node/writes.rs
+++ b/src/node/writes.rs
@@ -76,10 +76,10 @@
         let Some(pool) = primary else {
             return WriteEnd::NotRun(last);
         };
-        let session = match pool.acquire(order.route.priority, hold_limit).await {
+        let session = match pool.acquire(order.route.wait_terms(order.started)).await {
             Ok(session) => session,
-            Err(pool::AcquireError::Late) => {
-                return WriteEnd::NotRun(attempt::NotRun::NoConnection);
+            Err(error @ (pool::AcquireError::Late | pool::AcquireError::Crowded)) => {
+                return WriteEnd::NotRun(attempt::no_connection(error));
             }
             Err(pool::AcquireError::Moved) => {
                 last = attempt::NotRun::Moved;
