Count the answer time in the expected wait, and keep the upstream's own queue short

Change: expected wait includes the answer; the window aims at 55 ms; a given-up answer is awaited for 0.5 s more; a crowded queue is logged with its inputs.

--- a/src/node/limits.rs
+++ b/src/node/limits.rs
@@ -14,7 +14,7 @@
 pub const FULL_PAUSE: Duration = Duration::from_millis(500);
 /// Time that an answer may still take after its request was given up, before the connection is
 /// closed.
-pub const LEFTOVER_TIMEOUT: Duration = Duration::from_secs(3);
+pub const LEFTOVER_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time after which an idle connection to an upstream is closed, if another one is open.
 pub const IDLE_CONNECTION: Duration = Duration::from_millis(1_500);
 /// Period at which an upstream that is leaving is kept from receiving.
--- a/src/node/pool.rs
+++ b/src/node/pool.rs
@@ -244,7 +244,9 @@
             session.set_lent(true);
             return Ok(session);
         }
-        if Instant::now() + self.expected_wait(terms.priority) > terms.fresh_until {
+        let wait = self.expected_wait(terms.priority);
+        if Instant::now() + wait > terms.fresh_until {
+            self.report_crowd(wait);
             return Err(AcquireError::Crowded);
         }
         let (sender, receiver) = oneshot::channel();
@@ -265,7 +267,7 @@
         }
     }
 
-    /// Returns the time until everything that waits before a new statement has run.
+    /// Returns the time until a new statement is answered, after everything that waits before it.
     fn expected_wait(&self, priority: u8) -> time::Duration {
         let before = self
             .waiting
@@ -274,8 +276,25 @@
             .filter(|(other, _)| *other <= priority)
             .count();
         let usual = self.health.get().usual().unwrap_or_default();
-        usual.mul_f64(f64::from(u32::try_from(before).unwrap_or(u32::MAX)))
-            / self.window.get().size().min(self.share()).max(1)
+        let before = u32::try_from(before).unwrap_or(u32::MAX);
+        let at_a_time = self.window.get().size().min(self.share()).max(1);
+        usual + usual.saturating_mul(before.saturating_add(1)) / at_a_time
+    }
+
+    fn report_crowd(&self, wait: time::Duration) {
+        let usual = self.health.get().usual().unwrap_or_default();
+        journal::warn(
+            "queue_crowded",
+            &[
+                ("upstream", &self.upstream),
+                ("expected_wait_ms", &wait.as_millis()),
+                ("usual_ms", &usual.as_millis()),
+                ("waiting", &self.waiting()),
+                ("window", &self.window.get().size()),
+                ("lent", &self.lent.get()),
+                ("open", &self.open.get()),
+            ],
+        );
     }
 
     /// Hands idle connections to what waits, and opens more if there are too few.
@@ -299,11 +318,11 @@
 
     /// Takes the first waiting statement that is still useful in full, or the first of all.
     fn next_waiter(&self) -> Option<Waiter<E>> {
-        let now = Instant::now();
+        let answered = Instant::now() + self.health.get().usual().unwrap_or_default();
         let mut waiting = self.waiting.borrow_mut();
         let place = waiting
             .iter()
-            .find(|(_, waiter)| now < waiter.fresh_until)
+            .find(|(_, waiter)| answered < waiter.fresh_until)
             .or_else(|| waiting.first_key_value())
             .map(|(place, _)| *place)?;
         waiting.remove(&place)
--- a/src/node/window.rs
+++ b/src/node/window.rs
@@ -7,7 +7,7 @@
 use std::time;
 
 /// Answer time above which the upstream's queue counts as long.
-const SLOW_ANSWER: time::Duration = time::Duration::from_millis(90);
+const SLOW_ANSWER: time::Duration = time::Duration::from_millis(55);
 /// Part of the window that is left after a slow answer.
 const SLOW_FACTOR: f64 = 0.93;
 /// Part of the window that is left after a refusal for want of a slot.
