Refuse for a crowd only when the expected wait exceeds what a statement may wait

Cause: refusing against the goal gave up statements that would have been served late, in time for a part of their worth.

--- a/src/node/pool.rs
+++ b/src/node/pool.rs
@@ -245,7 +245,7 @@
             return Ok(session);
         }
         let wait = self.expected_wait(terms.priority);
-        if Instant::now() + wait > terms.fresh_until {
+        if Instant::now() + wait > terms.limit {
             self.report_crowd(wait);
             return Err(AcquireError::Crowded);
         }
