Hold a decision number in reserve for a failover while the store is away

Change: while all is well, the first VM in rank takes a number in reserve; it serves one failover, ends with any later number, and is not used for a planned move. VMs choose the same successor from the same replicas.

--- a/src/node/attempt.rs
+++ b/src/node/attempt.rs
@@ -6,8 +6,7 @@
 
 use crate::model::log_position;
 use crate::node::{
-    answers, board, boot_clock, command, edge, group, pool, request, session_state,
-    upstream_session,
+    answers, board, command, edge, group, pool, request, session_state, upstream_session,
 };
 
 /// Why a statement did not run at an upstream.
@@ -121,7 +120,7 @@
         read_only: false,
         floor: None,
     };
-    let asked = boot_clock::now();
+    let asked = pool.boot_time();
     let commands = [&command, &begin, &command::UpstreamCommand::Rollback];
     match session.exchange(commands).await {
         Ok([answer, check, _end]) => {
--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -156,19 +156,20 @@
                 self.board.add_member(&vm, &data_centre);
             }
             edge::ControlChange::MemberGone(vm) => self.vanish(Vanished::Member(vm)),
-            edge::ControlChange::Decision(group, revision, vm) => {
+            edge::ControlChange::Decision(group, claim) => {
                 let group = self.board.group(&group);
-                if revision > group.decision() {
+                if claim.number > group.decision() {
                     journal::info(
                         "decision_seen",
                         &[
                             ("group", &group.group),
-                            ("decision", &revision),
-                            ("vm", &vm),
+                            ("decision", &claim.number),
+                            ("vm", &claim.vm),
+                            ("purpose", &claim.purpose),
                         ],
                     );
                 }
-                group.record_decision(revision, board::steady_now());
+                group.record_claim(claim.number, claim.purpose, board::steady_now());
             }
         }
     }
--- a/src/node/edge.rs
+++ b/src/node/edge.rs
@@ -100,8 +100,29 @@
     Member(ids::VmId, ids::DataCentreId),
     /// A VM's entry was removed.
     MemberGone(ids::VmId),
-    /// A VM has begun a decision on the primary of a group.
-    Decision(ids::GroupId, StoreRevision, ids::VmId),
+    /// A VM has taken a number for a decision on the primary of a group.
+    Decision(ids::GroupId, DecisionClaim),
+}
+
+/// What a number for a decision is taken for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
+#[display(rename_all = "snake_case")]
+pub enum ClaimPurpose {
+    /// A decision that begins now.
+    Now,
+    /// A failover that may come while the store is away.
+    Reserve,
+}
+
+/// A number that a VM has taken for a decision on the primary of a group.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DecisionClaim {
+    /// The number; a later one is higher.
+    pub number: StoreRevision,
+    /// The VM.
+    pub vm: ids::VmId,
+    /// What for.
+    pub purpose: ClaimPurpose,
 }
 
 /// Changes up to a revision of the store.
@@ -134,6 +155,10 @@
     /// Lease of a VM's entry.
     type Lease: Clone;
 
+    /// Returns the time since the start of the VM, suspensions included. The steady clock stands
+    /// still during a suspension, and a position from before it would pass for a fresh one.
+    fn boot_time(&self) -> time::Duration;
+
     /// Connects to an upstream.
     fn connect(
         &self,
@@ -164,13 +189,14 @@
     /// Ends the lease, and with it the VM's entry.
     fn leave(&self, lease: &Self::Lease) -> impl Future<Output = Result<(), StoreError>>;
 
-    /// Begins a decision on the primary of `group` if `previous` is still the latest one, and
-    /// returns its number, which is higher than that of any earlier decision.
+    /// Takes a number for a decision on the primary of `group` if `previous` is still the latest
+    /// one. It is higher than any earlier one.
     fn claim_decision(
         &self,
         group: &str,
         node: &str,
         previous: StoreRevision,
+        purpose: ClaimPurpose,
     ) -> impl Future<Output = Result<StoreRevision, StoreError>>;
 
     /// Has the platform make `upstream` the primary of `group`.
--- a/src/node/failover.rs
+++ b/src/node/failover.rs
@@ -41,16 +41,10 @@
     {
         return DecisionEnd::Kept(primary);
     }
-    let claim = board
-        .edge
-        .claim_decision(&group.group, &board.node, group.decision())
-        .await;
-    let number = match claim {
+    let number = match take_number(board, group, trouble).await {
         Ok(number) => number,
-        Err(edge::StoreError::Conflict) => return DecisionEnd::Overtaken,
-        Err(error) => return DecisionEnd::GaveUp(format!("store: {error}")),
+        Err(end) => return end,
     };
-    group.record_decision(number, board::steady_now());
     journal::warn(
         "decision_begun",
         &[
@@ -81,6 +75,73 @@
     end
 }
 
+/// Takes the number of a decision from the store, or the one in reserve while the store is away.
+///
+/// With a number in reserve, this VM may decide beside another one that reaches the store. Both
+/// compare the same fenced replicas and choose the same successor, so a failover may use it; a
+/// planned move, whose target depends on the moment, may not.
+async fn take_number<E: edge::NodeEdge>(
+    board: &rc::Rc<board::NodeBoard<E>>,
+    group: &rc::Rc<group::GroupState>,
+    trouble: monitor::GroupTrouble,
+) -> Result<edge::StoreRevision, DecisionEnd> {
+    let purpose = edge::ClaimPurpose::Now;
+    let claim = board
+        .edge
+        .claim_decision(&group.group, &board.node, group.decision(), purpose);
+    let claim = tokio::time::timeout(limits::CLAIM_TIMEOUT, claim)
+        .await
+        .unwrap_or_else(|_elapsed| Err(edge::StoreError::NoAnswer("timeout".to_owned())));
+    let error = match claim {
+        Ok(number) => {
+            group.record_claim(number, purpose, board::steady_now());
+            return Ok(number);
+        }
+        Err(edge::StoreError::Conflict) => return Err(DecisionEnd::Overtaken),
+        Err(error) => error,
+    };
+    if trouble != monitor::GroupTrouble::Leaving
+        && let Some(number) = group.take_reserve()
+    {
+        journal::warn(
+            "reserve_used",
+            &[
+                ("group", &group.group),
+                ("decision", &number),
+                ("reason", &error),
+            ],
+        );
+        return Ok(number);
+    }
+    Err(DecisionEnd::GaveUp(format!("store: {error}")))
+}
+
+/// Takes a number in reserve for a failover that may come while the store is away.
+pub async fn reserve_number<E: edge::NodeEdge>(
+    board: &rc::Rc<board::NodeBoard<E>>,
+    group: &rc::Rc<group::GroupState>,
+) {
+    let purpose = edge::ClaimPurpose::Reserve;
+    let claim = board
+        .edge
+        .claim_decision(&group.group, &board.node, group.decision(), purpose)
+        .await;
+    match claim {
+        Ok(number) => {
+            group.record_claim(number, purpose, board::steady_now());
+            group.keep_reserve(number);
+            journal::info(
+                "number_reserved",
+                &[("group", &group.group), ("decision", &number)],
+            );
+        }
+        Err(error) => journal::info(
+            "number_not_reserved",
+            &[("group", &group.group), ("reason", &error)],
+        ),
+    }
+}
+
 /// Returns the primary whose commits seem to hang, if its replicas receive what it writes: then
 /// only answers were lost, and another primary would not help.
 async fn replicating_primary<E: edge::NodeEdge>(
@@ -248,14 +309,12 @@
     }
 
     fn candidate(&self, pool: &pool::UpstreamPool<E>) -> promotion::Candidate {
-        let (leaving, near) =
-            pool.read_entry(|entry| (entry.leaving, entry.data_centre == self.board.data_centre));
+        let leaving = pool.read_entry(|entry| entry.leaving);
         promotion::Candidate {
             upstream: pool.upstream().clone(),
             received: None,
             fenced: false,
             leaving,
-            near,
         }
     }
 
--- a/src/node/group.rs
+++ b/src/node/group.rs
@@ -27,6 +27,7 @@
     settled: cell::Cell<Option<time::Duration>>,
     deciding: cell::Cell<bool>,
     term: cell::Cell<ids::TermNumber>,
+    reserve: cell::Cell<Option<edge::StoreRevision>>,
 }
 
 impl GroupState {
@@ -47,6 +48,7 @@
             settled: cell::Cell::default(),
             deciding: cell::Cell::default(),
             term: cell::Cell::default(),
+            reserve: cell::Cell::default(),
         }
     }
 
@@ -79,7 +81,7 @@
     }
 
     /// Records a position of the primary, which was proved to lead by a request sent at `asked`,
-    /// a time of [`crate::node::boot_clock`].
+    /// a time of [`edge::NodeEdge::boot_time`].
     pub fn confirm(
         &self,
         upstream: &str,
@@ -149,12 +151,42 @@
         })
     }
 
-    /// Records the latest decision on the primary that the store knows.
-    pub fn record_decision(&self, revision: edge::StoreRevision, now: time::Duration) {
-        if revision > self.decision.get() {
-            self.decision.set(revision);
-            self.decided.set(Some(now));
+    /// Records the latest number of a decision that the store knows, and when a decision began.
+    pub fn record_claim(
+        &self,
+        number: edge::StoreRevision,
+        purpose: edge::ClaimPurpose,
+        now: time::Duration,
+    ) {
+        if number <= self.decision.get() {
+            return;
         }
+        self.decision.set(number);
+        // A number in reserve is good only as long as nobody has taken a later one.
+        self.reserve.set(None);
+        match purpose {
+            edge::ClaimPurpose::Now => self.decided.set(Some(now)),
+            edge::ClaimPurpose::Reserve => {}
+        }
+    }
+
+    /// Keeps the latest number, taken by this VM, in reserve for one failover.
+    pub fn keep_reserve(&self, number: edge::StoreRevision) {
+        if number == self.decision.get() {
+            self.reserve.set(Some(number));
+        }
+    }
+
+    /// Tells whether this VM has a number in reserve.
+    #[must_use]
+    pub fn has_reserve(&self) -> bool {
+        self.reserve.get().is_some()
+    }
+
+    /// Takes the number in reserve. It serves one decision, since a call with the same number for
+    /// another upstream could be carried out late and undo the newer one.
+    pub fn take_reserve(&self) -> Option<edge::StoreRevision> {
+        self.reserve.take()
     }
 
     /// Returns the latest decision.
--- a/src/node/limits.rs
+++ b/src/node/limits.rs
@@ -62,6 +62,10 @@
 pub const COMMIT_STALL: Duration = Duration::from_millis(600);
 /// Time within which one decision on a primary has to be carried out.
 pub const DECISION_LIMIT: Duration = Duration::from_millis(2_500);
+/// Time within which the store has to give the number of a decision.
+pub const CLAIM_TIMEOUT: Duration = Duration::from_millis(400);
+/// Pause between two tries to take a number in reserve.
+pub const RESERVE_INTERVAL: Duration = Duration::from_secs(2);
 /// Time for which the decision of another VM is left alone.
 pub const DECISION_RESPECT: Duration = Duration::from_millis(3_000);
 /// Pause after a promotion before the group is judged again.
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -9,7 +9,6 @@
 pub mod answers;
 pub mod attempt;
 pub mod board;
-pub mod boot_clock;
 pub mod choose;
 pub mod command;
 pub mod config;
--- a/src/node/monitor.rs
+++ b/src/node/monitor.rs
@@ -6,7 +6,7 @@
 use std::time;
 
 use crate::model::ids;
-use crate::node::{board, boot_clock, edge, failover, group, journal, limits, pool, probe};
+use crate::node::{board, edge, failover, group, journal, limits, pool, probe};
 
 /// Why a group may need another primary.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
@@ -31,6 +31,7 @@
     let mut since: Option<(GroupTrouble, time::Duration)> = None;
     let mut last_tick = board::steady_now();
     let mut last_fence = time::Duration::ZERO;
+    let mut last_reserve = board::steady_now();
     loop {
         tokio::time::sleep(limits::MONITOR_TICK).await;
         let now = board::steady_now();
@@ -59,6 +60,10 @@
         }
         let Some(trouble) = trouble(&board, &group, now) else {
             since = None;
+            if now.saturating_sub(last_reserve) >= limits::RESERVE_INTERVAL {
+                last_reserve = now;
+                keep_reserve(&board, &group, now);
+            }
             continue;
         };
         let begun = match since {
@@ -136,6 +141,26 @@
     });
 }
 
+/// Has the first VM in rank hold a number in reserve while all is well.
+fn keep_reserve<E: edge::NodeEdge>(
+    board: &rc::Rc<board::NodeBoard<E>>,
+    group: &rc::Rc<group::GroupState>,
+    now: time::Duration,
+) {
+    let busy = group
+        .decided()
+        .is_some_and(|moment| now.saturating_sub(moment) < limits::DECISION_RESPECT);
+    let wanted = board.store_up.get() && !group.is_deciding() && !busy;
+    if !wanted || group.has_reserve() || board.decision_rank(group) > 0 {
+        return;
+    }
+    let board = rc::Rc::clone(board);
+    let group = rc::Rc::clone(group);
+    tokio::task::spawn_local(async move {
+        failover::reserve_number(&board, &group).await;
+    });
+}
+
 /// Keeps replicas that are leaving from receiving, so that commits are acknowledged by replicas
 /// that stay. A log that goes away with its upstream must not be the only copy of a commit.
 fn fence_leaving<E: edge::NodeEdge>(
@@ -248,7 +273,7 @@
 ) {
     let age = group
         .newest()
-        .map(|newest| boot_clock::now().saturating_sub(newest));
+        .map(|newest| board.edge.boot_time().saturating_sub(newest));
     if age.is_some_and(|age| age < limits::POSITION_INTERVAL) {
         return;
     }
--- a/src/node/pool.rs
+++ b/src/node/pool.rs
@@ -104,6 +104,15 @@
         })
     }
 
+    /// Returns the time of [`edge::NodeEdge::boot_time`], or nothing once the node has stopped.
+    #[must_use]
+    pub fn boot_time(&self) -> time::Duration {
+        self.board
+            .upgrade()
+            .map(|board| board.edge.boot_time())
+            .unwrap_or_default()
+    }
+
     /// Returns the id of the upstream.
     #[must_use]
     pub const fn upstream(&self) -> &ids::UpstreamId {
--- a/src/node/probe.rs
+++ b/src/node/probe.rs
@@ -3,9 +3,7 @@
 use std::rc;
 
 use crate::model::{ids, log_position};
-use crate::node::{
-    board, boot_clock, command, edge, group, journal, limits, pool, upstream_session,
-};
+use crate::node::{board, command, edge, group, journal, limits, pool, upstream_session};
 
 /// What an upstream said about its lead.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -31,7 +29,7 @@
     };
     let question = async {
         let mut session = pool.acquire_for_probe(fresh).await?;
-        let asked = boot_clock::now();
+        let asked = pool.boot_time();
         let commands = [&begin, &command::UpstreamCommand::Rollback];
         let [answer, _end] = session.exchange(commands).await.ok()?;
         pool.release(session);
--- a/src/node/promotion.rs
+++ b/src/node/promotion.rs
@@ -17,8 +17,6 @@
     pub fenced: bool,
     /// Whether it is leaving.
     pub leaving: bool,
-    /// Whether it is in the data centre of the old primary.
-    pub near: bool,
 }
 
 /// What to do next.
@@ -34,8 +32,8 @@
     Nothing,
 }
 
-/// Chooses the successor of a primary that does not answer. `acknowledged` is the highest position
-/// that this VM has seen acknowledged.
+/// Chooses the successor of a primary that does not answer. Every VM chooses the same one from the
+/// same replicas. `acknowledged` is the highest position that this VM has seen acknowledged.
 #[must_use]
 pub fn choose_failover(
     candidates: &[Candidate],
@@ -47,7 +45,7 @@
     }
     let Some(best) = candidates
         .iter()
-        .max_by_key(|candidate| (candidate.received, !candidate.leaving, candidate.near))
+        .max_by_key(|candidate| (candidate.received, !candidate.leaving, &candidate.upstream))
     else {
         return PromotionChoice::Nothing;
     };
@@ -64,7 +62,7 @@
     candidates
         .iter()
         .filter(|candidate| !candidate.leaving && candidate.received.is_some())
-        .max_by_key(|candidate| (candidate.received, candidate.near))
+        .max_by_key(|candidate| (candidate.received, &candidate.upstream))
 }
 
 /// Decides whether the lead can move to `target` now: every other replica is fenced, so that only
--- a/src/node/reads.rs
+++ b/src/node/reads.rs
@@ -9,9 +9,7 @@
 use tokio::time::Instant;
 
 use crate::model::{ids, log_position};
-use crate::node::{
-    answers, attempt, board, boot_clock, choose, config, edge, group, journal, limits, pool,
-};
+use crate::node::{answers, attempt, board, choose, config, edge, group, journal, limits, pool};
 
 type RunningAttempt = pin::Pin<Box<dyn Future<Output = (ids::UpstreamId, attempt::AttemptEnd)>>>;
 
@@ -22,7 +20,7 @@
     pub group: rc::Rc<group::GroupState>,
     /// What the configuration says of the database.
     pub route: config::DatabaseRoute,
-    /// When the read arrived, by [`boot_clock`].
+    /// When the read arrived, by [`edge::NodeEdge::boot_time`].
     pub arrival: time::Duration,
     /// Position of the session's last commit.
     pub written: Option<log_position::LogPosition>,
@@ -111,7 +109,10 @@
     let mut last_not_run = attempt::NotRun::NoUpstream;
     let mut broken = None;
     let mut hedge_at = started;
-    board.budget.borrow_mut().record_request(boot_clock::now());
+    board
+        .budget
+        .borrow_mut()
+        .record_request(board::steady_now());
     let end = loop {
         let now = Instant::now();
         if running.is_empty() {
@@ -221,7 +222,7 @@
     };
     // More work for an upstream at its limit makes every answer later.
     let spare = pool.has_room() && running.len() < 2;
-    if !silent && !(spare && board.budget.borrow_mut().take_retry(boot_clock::now())) {
+    if !silent && !(spare && board.budget.borrow_mut().take_retry(board::steady_now())) {
         return;
     }
     journal::warn(
--- a/src/node/session.rs
+++ b/src/node/session.rs
@@ -6,8 +6,8 @@
 use tokio::time::Instant;
 
 use crate::node::{
-    answers, attempt, board, boot_clock, config, edge, journal, limits, reads, request,
-    session_state, stop, transaction, writes,
+    answers, attempt, board, config, edge, journal, limits, reads, request, session_state, stop,
+    transaction, writes,
 };
 
 /// Serves one caller until it leaves or the node stops.
@@ -203,7 +203,7 @@
         Some(reads::ReadPlan {
             group,
             route,
-            arrival: boot_clock::now(),
+            arrival: self.board.edge.boot_time(),
             written,
         })
     }
--- a/src/node/transaction.rs
+++ b/src/node/transaction.rs
@@ -10,8 +10,8 @@
 
 use crate::model::log_position;
 use crate::node::{
-    answers, attempt, board, boot_clock, command, config, edge, group, journal, limits, pool,
-    reads, request, session_state, upstream_session, writes,
+    answers, attempt, board, command, config, edge, group, journal, limits, pool, reads, request,
+    session_state, upstream_session, writes,
 };
 
 /// How a statement of a transaction ended.
@@ -327,7 +327,7 @@
     read_only: bool,
     floor: Option<log_position::LogPosition>,
 ) -> std::io::Result<Option<attempt::NotRun>> {
-    let asked: time::Duration = boot_clock::now();
+    let asked: time::Duration = session.pool().boot_time();
     let leading = command::UpstreamCommand::Begin {
         read_only: false,
         floor: None,
--- a/src/node/writes.rs
+++ b/src/node/writes.rs
@@ -180,7 +180,7 @@
     session: &mut upstream_session::UpstreamSession<E>,
     command: &command::UpstreamCommand,
 ) -> std::io::Result<answers::UpstreamAnswer> {
-    let asked = crate::node::boot_clock::now();
+    let asked = pool.boot_time();
     let watch = CommitWatch {
         group: rc::Rc::clone(group),
         number: group.commit_sent(board::steady_now()),
--- a/standins/src/cluster/cluster_edge.rs
+++ b/standins/src/cluster/cluster_edge.rs
@@ -22,6 +22,7 @@
     pub state: rc::Rc<cell::RefCell<cluster_state::ClusterState>>,
     /// Wakes watches after a change of the store.
     pub changed: rc::Rc<cluster_state::StoreSignal>,
+    started: tokio::time::Instant,
 }
 
 impl ClusterEdge {
@@ -31,6 +32,7 @@
         Self {
             state: rc::Rc::new(cell::RefCell::new(state)),
             changed: rc::Rc::default(),
+            started: tokio::time::Instant::now(),
         }
     }
 
@@ -108,6 +110,10 @@
     type Upstream = ClusterLink;
     type Lease = ();
 
+    fn boot_time(&self) -> time::Duration {
+        self.started.elapsed()
+    }
+
     async fn connect(
         &self,
         entry: &upstream_entry::UpstreamEntry,
@@ -200,6 +206,7 @@
         group: &str,
         node: &str,
         previous: edge::StoreRevision,
+        purpose: edge::ClaimPurpose,
     ) -> Result<edge::StoreRevision, edge::StoreError> {
         self.check_store()?;
         self.change(|state| {
@@ -208,8 +215,12 @@
             }
             let number = state.revision + 1;
             state.decision = number;
-            let (group, node) = (group.to_owned(), node.to_owned());
-            state.record(edge::ControlChange::Decision(group, number, node));
+            let claim = edge::DecisionClaim {
+                number,
+                vm: node.to_owned(),
+                purpose,
+            };
+            state.record(edge::ControlChange::Decision(group.to_owned(), claim));
             Ok(number)
         })
     }
--- a/tests/node_failover.rs
+++ b/tests/node_failover.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use node_support as support;
-use persimmontack::node::edge::{ControlChange, NodeEdge};
+use persimmontack::node::edge::{ClaimPurpose, ControlChange, NodeEdge};
 use persimmontack::node::request::StatementKind;
 
 /// Guards against a group without a primary, and against a successor that lacks an acknowledged
@@ -176,7 +176,10 @@
     support::run(|scene| async move {
         let edge = scene.edge.clone();
         let previous = scene.edge.state.borrow().decision;
-        let other = edge.claim_decision("ledger", "vm-2", previous).await;
+        let purpose = ClaimPurpose::Now;
+        let other = edge
+            .claim_decision("ledger", "vm-2", previous, purpose)
+            .await;
         let other = other.expect("a number");
         scene
             .until("the decision is seen", |scene| {
@@ -234,3 +237,53 @@
         assert!(scene.edge.state.borrow().acknowledged.is_empty());
     });
 }
+
+/// Guards against a group that stays without a primary as long as the store is away: the first VM
+/// in rank holds a number in reserve, and uses it once.
+#[test]
+fn a_number_in_reserve_serves_one_failover_without_the_store() {
+    support::run(|scene| async move {
+        let group = scene.board.group("ledger");
+        scene
+            .until("a number is in reserve", |_scene| group.has_reserve())
+            .await;
+        scene.edge.change(|state| {
+            state.store_up = false;
+            state.instance("a").up = false;
+        });
+        scene
+            .until("another leads", |scene| !scene.promotions().is_empty())
+            .await;
+        assert!(!group.has_reserve());
+        let successor = scene.promotions().remove(0);
+        scene
+            .until("the successor is known", |scene| {
+                scene.primary() == successor
+            })
+            .await;
+        scene.instance("a", |instance| instance.up = true);
+        scene.instance(&successor, |instance| instance.up = false);
+        scene.pass(Duration::from_secs(5)).await;
+        assert_eq!(scene.promotions().len(), 1);
+    });
+}
+
+/// Guards against a number in reserve that is used although another VM has taken a later one.
+#[test]
+fn a_number_in_reserve_ends_with_a_later_one() {
+    support::run(|scene| async move {
+        let group = scene.board.group("ledger");
+        scene
+            .until("a number is in reserve", |_scene| group.has_reserve())
+            .await;
+        let edge = scene.edge.clone();
+        let previous = scene.edge.state.borrow().decision;
+        let other = edge
+            .claim_decision("ledger", "vm-2", previous, ClaimPurpose::Now)
+            .await;
+        assert!(other.is_ok());
+        scene
+            .until("it is given up", |_scene| !group.has_reserve())
+            .await;
+    });
+}
