--- a/src/node/reads.rs
+++ b/src/node/reads.rs
@@ -221,8 +221,13 @@
         return;
     };
     // More work for an upstream at its limit makes every answer later.
-    let spare = pool.has_room() && running.len() < 2;
-    if !silent && !(spare && board.budget.borrow_mut().take_retry(board::steady_now())) {
+    let spare = || {
+        pool.has_room()
+            && running.len() < 2
+            && board.budget.borrow_mut().take_retry(board::steady_now())
+    };
+    let allowed = silent || spare();
+    if !allowed {
         return;
     }
     journal::warn(
--- a/standins/src/cluster/cluster_state.rs
+++ b/standins/src/cluster/cluster_state.rs
@@ -268,7 +268,10 @@
 }
 
 /// Returns an error as an instance words it.
-#[must_use]
+///
+/// # Errors
+///
+/// Always, since that is what it makes.
 pub fn error(code: answers::ErrorCode) -> Result<Bytes, answers::StatementError> {
     Err(answers::StatementError::new(code, "stand-in"))
 }
