--- a/tests/node_statements.rs
+++ b/tests/node_statements.rs
@@ -58,12 +58,12 @@
             .await;
         assert_eq!(scene.primary(), "a");
         scene.edge.state.borrow_mut().promote("c", 1_000);
+        scene.instance("a", |instance| instance.receives = false);
         scene.edge.state.borrow_mut().commit(
             "c",
             &Bytes::from_static(b"other"),
             vec![(Bytes::from_static(b"item"), Bytes::from_static(b"new"))],
         );
-        scene.instance("a", |instance| instance.receives = false);
         let answer = reader.ask(support::read(), "READ item").await;
         assert_eq!(support::rows(&answer), [Bytes::from_static(b"new")]);
     });
