Keep a caller's socket until it has closed its side

Cause: at a planned stop the entry wrote 57P01, shut its side down and dropped the socket. Ruled out: the pool's side; the failure names the caller's connection. Change: after the shutdown the entry reads on until the caller has closed, for 1 s at most.

--- a/src/entry/session.rs
+++ b/src/entry/session.rs
@@ -1,6 +1,7 @@
 //! [`CallerSession`]: the session of one caller after the login.
 
 use std::sync;
+use std::time;
 
 use bytes::BufMut;
 
@@ -10,6 +11,8 @@
 use crate::sql::{parameters, statement_class};
 use crate::{counters, event};
 
+/// Time in which a caller may close its side after it was told that the session ends.
+const CLOSE_TIMEOUT: time::Duration = time::Duration::from_secs(1);
 /// Parameters reported at the start of a session.
 const REPORTED: [&str; 9] = [
     "server_version",
@@ -93,6 +96,12 @@
         }
         if end.is_ok() {
             self.writer.close().await;
+            // A request may be on its way. If the socket were gone when it arrives, the caller's
+            // next write would fail before it has read why the session ends.
+            let gone = self.reader.gone();
+            if tokio::time::timeout(CLOSE_TIMEOUT, gone).await.is_err() {
+                event::debug("session_not_closed", &[("user", &self.user)]);
+            }
         }
         event::debug(
             "session_ended",
