--- a/tests/node_statements.rs
+++ b/tests/node_statements.rs
@@ -208,15 +208,14 @@
             let answer = first.ask(execute(b"item"), "EXECUTE s1 item").await;
             assert_eq!(support::rows(&answer), [Bytes::from_static(b"two")]);
         }
-        let mut instances = scene.edge.state.borrow_mut();
         for name in ["a", "b", "c"] {
-            let instance = instances.instance(name);
-            for ((_, text), values) in instance.ran.iter().zip(&instance.ran_with) {
-                // Only the first session, which reads, has set a value.
-                assert_eq!(text.starts_with("READ"), !values.is_empty(), "{text}");
-            }
+            scene.instance(name, |instance| {
+                for ((_, text), values) in instance.ran.iter().zip(&instance.ran_with) {
+                    // Only the first session, which reads, has set a value.
+                    assert_eq!(text.starts_with("READ"), !values.is_empty(), "{text}");
+                }
+            });
         }
-        drop(instances);
         let unknown = StatementKind::Execute {
             name: Bytes::from_static(b"s2"),
             arguments: Bytes::new(),
