End the membership at a planned stop, and share the daemons' command line

Cause: the lease of a stopping VM ran on for 6 s, so the others did not use its share of connections; the node had a second copy of the daemons' options.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -60,19 +60,20 @@
     }
 }
 
+/// Command line of a daemon.
 #[derive(Debug, Options)]
-struct DaemonOptions {
-    /// Settings file (TOML).
+pub struct DaemonOptions {
+    /// Settings file.
     #[options(meta = "FILE")]
-    config: Option<path::PathBuf>,
+    pub config: Option<path::PathBuf>,
     /// Check the settings and exit.
     #[options(no_short)]
-    check: bool,
+    pub check: bool,
     /// Print this help.
-    help: bool,
+    pub help: bool,
     /// Print the version.
     #[options(short = "V")]
-    version: bool,
+    pub version: bool,
 }
 
 /// Runs a daemon from its command line to its exit code. `parse` checks the text of its settings,
@@ -146,7 +147,9 @@
         .map_err(|problem| StartError::Settings { file, problem })
 }
 
-fn help_text(program: &DaemonProgram) -> String {
+/// Returns the help of a daemon.
+#[must_use]
+pub fn help_text(program: &DaemonProgram) -> String {
     let DaemonProgram {
         name,
         summary,
--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -6,7 +6,7 @@
 use tokio::time::Instant;
 
 use crate::model::ids;
-use crate::node::{board, edge, journal, limits, monitor};
+use crate::node::{board, edge, journal, limits, monitor, stop};
 
 /// Follows the store as long as the node runs.
 pub async fn follow<E: edge::NodeEdge>(board: rc::Rc<board::NodeBoard<E>>) {
@@ -220,8 +220,12 @@
     board.edge.join(&board.node, &board.data_centre, ttl).await
 }
 
-/// Keeps this VM's entry in the store alive as long as the node runs.
-pub async fn stay_member<E: edge::NodeEdge>(board: rc::Rc<board::NodeBoard<E>>) {
+/// Keeps this VM's entry in the store alive until the node stops. The others may use its share of
+/// connections from then on.
+pub async fn stay_member<E: edge::NodeEdge>(
+    board: rc::Rc<board::NodeBoard<E>>,
+    stop: rc::Rc<stop::StopState>,
+) {
     let mut lease: Option<E::Lease> = None;
     loop {
         let result = match &lease {
@@ -243,6 +247,14 @@
                 continue;
             }
         }
-        tokio::time::sleep(limits::MEMBER_RENEWAL).await;
+        tokio::select! {
+            () = tokio::time::sleep(limits::MEMBER_RENEWAL) => {}
+            _started = stop.wait_begun() => break,
+        }
+    }
+    if let Some(lease) = lease
+        && let Err(error) = board.edge.leave(&lease).await
+    {
+        journal::warn("membership_not_ended", &[("reason", &error)]);
     }
 }
--- a/src/node/stop.rs
+++ b/src/node/stop.rs
@@ -31,16 +31,21 @@
         self.started.get().is_some()
     }
 
-    /// Completes when a session without a request under way is to be closed: soon after callers
-    /// are sent elsewhere, or later if it has an open transaction.
-    pub async fn closes_idle(&self, in_transaction: bool) {
-        let started = loop {
+    /// Completes when the stop begins.
+    pub async fn wait_begun(&self) -> Instant {
+        loop {
             let begun = self.begun.notified();
             if let Some(started) = self.started.get() {
-                break started;
+                return started;
             }
             begun.await;
-        };
+        }
+    }
+
+    /// Completes when a session without a request under way is to be closed: soon after callers
+    /// are sent elsewhere, or later if it has an open transaction.
+    pub async fn closes_idle(&self, in_transaction: bool) {
+        let started = self.wait_begun().await;
         let share = self.grace.get().mul_f64(limits::STOP_TRANSACTION_SHARE);
         let patience = if in_transaction {
             share
--- a/tests/node_support/mod.rs
+++ b/tests/node_support/mod.rs
@@ -71,7 +71,10 @@
             stop: Rc::default(),
         };
         tokio::task::spawn_local(control::follow(Rc::clone(&scene.board)));
-        tokio::task::spawn_local(control::stay_member(Rc::clone(&scene.board)));
+        tokio::task::spawn_local(control::stay_member(
+            Rc::clone(&scene.board),
+            Rc::clone(&scene.stop),
+        ));
         scene
             .until("a position of the primary is known", |scene| {
                 scene.primary() == "a" && scene.board.group(cluster_state::GROUP).newest().is_some()
