Remove a position that nobody read, and keep a name of the platform in its folder

Cause: the pool recorded the last position that an upstream showed, and nothing used it; the type alias of store revisions had the platform's field name. Change: both removed; behaviour is the same.

--- a/src/node/attempt.rs
+++ b/src/node/attempt.rs
@@ -143,7 +143,6 @@
     session: upstream_session::UpstreamSession<E>,
     answer: answers::UpstreamAnswer,
 ) -> AttemptEnd {
-    pool.note_position(answer.position);
     match answer.error_code().and_then(not_run) {
         Some(NotRun::NotPrepared) => {
             // The connection is not in the state that it should be in, so it is closed.
--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -46,7 +46,7 @@
 
 impl<E: edge::NodeEdge> TableKeeper<E> {
     /// Applies changes until the history is lost.
-    async fn watch_from(&mut self, mut revision: edge::StoreRevision) {
+    async fn watch_from(&mut self, mut revision: edge::RevisionNumber) {
         loop {
             let wait = self.watch_wait();
             let board = rc::Rc::clone(&self.board);
--- a/src/node/edge.rs
+++ b/src/node/edge.rs
@@ -7,7 +7,7 @@
 use crate::node::{answers, command, config, request, upstream_entry};
 
 /// Revision of the store; it only grows.
-pub type StoreRevision = u64;
+pub type RevisionNumber = u64;
 
 /// A connection of a caller.
 pub trait CallerLink {
@@ -118,7 +118,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct DecisionClaim {
     /// The number; a later one is higher.
-    pub number: StoreRevision,
+    pub number: RevisionNumber,
     /// The VM.
     pub vm: ids::VmId,
     /// What for.
@@ -131,7 +131,7 @@
     /// The changes, oldest first.
     pub changes: Vec<ControlChange>,
     /// Where to go on.
-    pub revision: StoreRevision,
+    pub revision: RevisionNumber,
 }
 
 /// How a call for a promotion ended.
@@ -171,7 +171,7 @@
     /// Waits up to `wait` for changes after `revision`.
     fn watch(
         &self,
-        revision: StoreRevision,
+        revision: RevisionNumber,
         wait: time::Duration,
     ) -> impl Future<Output = Result<ControlChanges, StoreError>>;
 
@@ -195,9 +195,9 @@
         &self,
         group: &str,
         node: &str,
-        previous: StoreRevision,
+        previous: RevisionNumber,
         purpose: ClaimPurpose,
-    ) -> impl Future<Output = Result<StoreRevision, StoreError>>;
+    ) -> impl Future<Output = Result<RevisionNumber, StoreError>>;
 
     /// Has the platform make `upstream` the primary of `group`.
     fn promote(
@@ -205,6 +205,6 @@
         group: &str,
         upstream: &str,
         node: &str,
-        decision: StoreRevision,
+        decision: RevisionNumber,
     ) -> impl Future<Output = Result<(), PromoteError>>;
 }
--- a/src/node/failover.rs
+++ b/src/node/failover.rs
@@ -84,7 +84,7 @@
     board: &rc::Rc<board::NodeBoard<E>>,
     group: &rc::Rc<group::GroupState>,
     trouble: monitor::GroupTrouble,
-) -> Result<edge::StoreRevision, DecisionEnd> {
+) -> Result<edge::RevisionNumber, DecisionEnd> {
     let purpose = edge::ClaimPurpose::Now;
     let claim = board
         .edge
@@ -177,7 +177,7 @@
 struct Decision<'a, E: edge::NodeEdge> {
     board: &'a rc::Rc<board::NodeBoard<E>>,
     group: &'a rc::Rc<group::GroupState>,
-    number: edge::StoreRevision,
+    number: edge::RevisionNumber,
     limit: Instant,
     term: ids::TermNumber,
     fenced: Vec<rc::Rc<pool::UpstreamPool<E>>>,
--- a/src/node/group.rs
+++ b/src/node/group.rs
@@ -22,12 +22,12 @@
     commits: cell::RefCell<Vec<(CommitNumber, time::Duration)>>,
     next_commit: cell::Cell<CommitNumber>,
     last_commit: cell::Cell<time::Duration>,
-    decision: cell::Cell<edge::StoreRevision>,
+    decision: cell::Cell<edge::RevisionNumber>,
     decided: cell::Cell<Option<time::Duration>>,
     settled: cell::Cell<Option<time::Duration>>,
     deciding: cell::Cell<bool>,
     term: cell::Cell<ids::TermNumber>,
-    reserve: cell::Cell<Option<edge::StoreRevision>>,
+    reserve: cell::Cell<Option<edge::RevisionNumber>>,
 }
 
 impl GroupState {
@@ -154,7 +154,7 @@
     /// Records the latest number of a decision that the store knows, and when a decision began.
     pub fn record_claim(
         &self,
-        number: edge::StoreRevision,
+        number: edge::RevisionNumber,
         purpose: edge::ClaimPurpose,
         now: time::Duration,
     ) {
@@ -171,7 +171,7 @@
     }
 
     /// Keeps the latest number, taken by this VM, in reserve for one failover.
-    pub fn keep_reserve(&self, number: edge::StoreRevision) {
+    pub fn keep_reserve(&self, number: edge::RevisionNumber) {
         if number == self.decision.get() {
             self.reserve.set(Some(number));
         }
@@ -185,13 +185,13 @@
 
     /// Takes the number in reserve. It serves one decision, since a call with the same number for
     /// another upstream could be carried out late and undo the newer one.
-    pub fn take_reserve(&self) -> Option<edge::StoreRevision> {
+    pub fn take_reserve(&self) -> Option<edge::RevisionNumber> {
         self.reserve.take()
     }
 
     /// Returns the latest decision.
     #[must_use]
-    pub fn decision(&self) -> edge::StoreRevision {
+    pub fn decision(&self) -> edge::RevisionNumber {
         self.decision.get()
     }
 
--- a/src/node/pool.rs
+++ b/src/node/pool.rs
@@ -6,7 +6,7 @@
 
 use tokio::time::Instant;
 
-use crate::model::{ids, log_position};
+use crate::model::ids;
 use crate::node::{
     board, edge, health, journal, limits, upstream_entry, upstream_session, wait_queue, window,
 };
@@ -41,7 +41,6 @@
     gone: cell::Cell<bool>,
     /// Whether the upstream answers.
     pub health: cell::Cell<health::UpstreamHealth>,
-    applied: cell::Cell<Option<log_position::LogPosition>>,
     lag_seen: cell::Cell<Option<time::Duration>>,
     /// Primary under which the upstream was fenced because it is leaving.
     fenced_under: cell::RefCell<Option<ids::UpstreamId>>,
@@ -77,7 +76,6 @@
             not_before: cell::Cell::default(),
             gone: cell::Cell::default(),
             health: cell::Cell::default(),
-            applied: cell::Cell::default(),
             lag_seen: cell::Cell::default(),
             fenced_under: cell::RefCell::default(),
         })
@@ -145,19 +143,6 @@
         self.health.set(health);
     }
 
-    /// Notes the position that an answer showed.
-    pub fn note_position(&self, position: Option<log_position::LogPosition>) {
-        if position.is_some() {
-            self.applied.set(position);
-        }
-    }
-
-    /// Returns the position that the last answer showed.
-    #[must_use]
-    pub fn applied(&self) -> Option<log_position::LogPosition> {
-        self.applied.get()
-    }
-
     /// Notes that the upstream lacked a wanted position.
     pub fn note_lag(&self, now: time::Duration) {
         self.lag_seen.set(Some(now));
--- a/src/node/probe.rs
+++ b/src/node/probe.rs
@@ -38,7 +38,6 @@
     let started = board::steady_now();
     match tokio::time::timeout(limits::PROBE_TIMEOUT, question).await {
         Ok(Some((asked, answer))) => {
-            pool.note_position(answer.position);
             if answer.result.is_err() {
                 return LeadAnswer::Follows;
             }
--- a/src/node/writes.rs
+++ b/src/node/writes.rs
@@ -186,7 +186,6 @@
         number: group.commit_sent(board::steady_now()),
     };
     let [answer] = session.exchange([command]).await?;
-    pool.note_position(answer.position);
     if answer.result.is_ok()
         && let Some(position) = answer.position
     {
--- a/standins/src/cluster/cluster_edge.rs
+++ b/standins/src/cluster/cluster_edge.rs
@@ -153,7 +153,7 @@
 
     async fn watch(
         &self,
-        revision: edge::StoreRevision,
+        revision: edge::RevisionNumber,
         wait: time::Duration,
     ) -> Result<edge::ControlChanges, edge::StoreError> {
         let limit = tokio::time::Instant::now() + wait;
@@ -205,9 +205,9 @@
         &self,
         group: &str,
         node: &str,
-        previous: edge::StoreRevision,
+        previous: edge::RevisionNumber,
         purpose: edge::ClaimPurpose,
-    ) -> Result<edge::StoreRevision, edge::StoreError> {
+    ) -> Result<edge::RevisionNumber, edge::StoreError> {
         self.check_store()?;
         self.change(|state| {
             if state.decision != previous {
@@ -230,7 +230,7 @@
         _group: &str,
         upstream: &str,
         _node: &str,
-        decision: edge::StoreRevision,
+        decision: edge::RevisionNumber,
     ) -> Result<(), edge::PromoteError> {
         tokio::time::sleep(PROMOTE_TIME).await;
         self.change(|state| {
--- a/standins/src/cluster/cluster_state.rs
+++ b/standins/src/cluster/cluster_state.rs
@@ -57,15 +57,15 @@
     /// Latest configuration.
     pub config: config::NodeConfig,
     /// Changes of the store, in order.
-    pub events: Vec<(edge::StoreRevision, edge::ControlChange)>,
+    pub events: Vec<(edge::RevisionNumber, edge::ControlChange)>,
     /// Revision of the store.
-    pub revision: edge::StoreRevision,
+    pub revision: edge::RevisionNumber,
     /// Latest decision on the primary of the group.
-    pub decision: edge::StoreRevision,
+    pub decision: edge::RevisionNumber,
     /// Whether the store answers.
     pub store_up: bool,
     /// Promotions that were carried out: the instance and the decision.
-    pub promotions: Vec<(ids::UpstreamId, edge::StoreRevision)>,
+    pub promotions: Vec<(ids::UpstreamId, edge::RevisionNumber)>,
     /// Promotions whose answer is lost, one after the other.
     pub lose_promotions: u32,
     /// Acknowledged commits: the statement's id and the position.
@@ -204,7 +204,7 @@
     }
 
     /// Makes an instance the primary of the next term, as the platform does.
-    pub fn promote(&mut self, name: &str, decision: edge::StoreRevision) {
+    pub fn promote(&mut self, name: &str, decision: edge::RevisionNumber) {
         if self.instance(name).primary {
             return;
         }
