Read why a caller's connection ended in the rolling restart test

a_rolling_restart_of_all_vms_fails_no_request failed about once in seven runs with Closed on the first step of an operation.

Cause: the driver hands an error that arrives between two requests only to the task that owns the socket. A request that was handed to the driver at that moment is dropped unsent with Closed, so the test never saw the 57P01 that the entry had sent. Change: the test's callers keep the end of their connection and read the error there. The check is as strict: the request still has to be the first of an operation, and the journals still have to show that it did not run. Conclusion: the entry was right.

--- a/tests/planned_stops.rs
+++ b/tests/planned_stops.rs
@@ -28,14 +28,14 @@
 
 impl Load {
     /// Connects to an entry that is in service.
-    async fn connect(&self) -> tokio_postgres::Client {
+    async fn connect(&self) -> callers::Caller {
         waiting::until_some("an entry accepts a caller", || async {
             let entry = {
                 let entries = self.entries.lock().expect("no panic");
                 let next = self.next.fetch_add(1, atomic::Ordering::AcqRel);
                 *entries.get(next % entries.len())?
             };
-            test_env::connect_to(entry, USER, PASSWORD, DATABASE, "")
+            callers::Caller::connect(entry, USER, PASSWORD, DATABASE)
                 .await
                 .ok()
         })
@@ -73,7 +73,7 @@
         };
         for (step, sql) in steps.iter().enumerate() {
             let id = format!("{id}/{step}");
-            let told = callers::run(&client, &id, sql).await.0;
+            let told = client.run(&id, sql).await;
             if told == callers::Told::Done {
                 load.done.fetch_add(1, atomic::Ordering::AcqRel);
                 continue;
--- a/tests/testenv/src/callers.rs
+++ b/tests/testenv/src/callers.rs
@@ -1,6 +1,7 @@
 //! What callers were told, and what the journals say about the same statements.
 
 use std::io;
+use std::net;
 
 use standins::instance::journal;
 
@@ -57,6 +58,54 @@
     }
 }
 
+/// A caller's connection that also keeps how its connection ended.
+///
+/// The driver reports an error that arrives between two requests only to the task that owns the
+/// socket; a request that was handed to the driver at that moment is dropped unsent with
+/// `Closed`.
+#[derive(Debug)]
+pub struct Caller {
+    client: tokio_postgres::Client,
+    end: tokio::task::JoinHandle<Result<(), tokio_postgres::Error>>,
+}
+
+impl Caller {
+    /// Connects and logs in.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the entry cannot be reached or refuses the login.
+    pub async fn connect(
+        address: net::SocketAddr,
+        user: &str,
+        password: &str,
+        database: &str,
+    ) -> Result<Self, tokio_postgres::Error> {
+        let config = test_env::client_config(address, user, password, database);
+        let (client, connection) = config.connect(tokio_postgres::NoTls).await?;
+        let end = tokio::spawn(connection);
+        Ok(Self { client, end })
+    }
+
+    /// Tells whether the connection has ended.
+    #[must_use]
+    pub fn is_closed(&self) -> bool {
+        self.client.is_closed()
+    }
+
+    /// Runs one statement like [`run`], and returns what the caller was told on the connection.
+    pub async fn run(&mut self, id: &str, sql: &str) -> Told {
+        let told = run(&self.client, id, sql).await.0;
+        if !matches!(told, Told::Gone(_)) {
+            return told;
+        }
+        match (&mut self.end).await {
+            Ok(Err(error)) if error.as_db_error().is_some() => Told::from(&error),
+            _ => told,
+        }
+    }
+}
+
 /// Runs one statement whose id goes to the journal, and returns what the caller was told and the
 /// first column of its rows.
 pub async fn run(client: &tokio_postgres::Client, id: &str, sql: &str) -> (Told, Vec<String>) {
--- a/tests/testenv/src/test_env.rs
+++ b/tests/testenv/src/test_env.rs
@@ -392,13 +392,7 @@
     database: &str,
     options: &str,
 ) -> Result<tokio_postgres::Client, tokio_postgres::Error> {
-    let mut config = tokio_postgres::Config::new();
-    config
-        .host(address.ip().to_string())
-        .port(address.port())
-        .user(user)
-        .password(password)
-        .dbname(database);
+    let mut config = client_config(address, user, password, database);
     if !options.is_empty() {
         config.options(options);
     }
@@ -408,6 +402,22 @@
     Ok(client)
 }
 
+pub(crate) fn client_config(
+    address: net::SocketAddr,
+    user: &str,
+    password: &str,
+    database: &str,
+) -> tokio_postgres::Config {
+    let mut config = tokio_postgres::Config::new();
+    config
+        .host(address.ip().to_string())
+        .port(address.port())
+        .user(user)
+        .password(password)
+        .dbname(database);
+    config
+}
+
 fn vm_places(plan: &env_plan::EnvPlan) -> Vec<VmPlace> {
     let mut places = Vec::new();
     for (data_centre, count) in plan.vms.iter().enumerate() {
