--- a/src/keeper/daemon.rs
+++ b/src/keeper/daemon.rs
@@ -132,7 +132,8 @@
                     stream_kind::StreamKind::Control => answers.serve(stream).await,
                     stream_kind::StreamKind::Work
                     | stream_kind::StreamKind::Feed
-                    | stream_kind::StreamKind::Observe => {
+                    | stream_kind::StreamKind::Observe
+                    | stream_kind::StreamKind::Session => {
                         stream.writer.abort();
                         Ok(())
                     }
--- a/src/link/client.rs
+++ b/src/link/client.rs
@@ -5,6 +5,8 @@
 use std::sync::atomic;
 use std::time;
 
+use tokio::io::{AsyncRead, AsyncWrite};
+
 use crate::dial;
 use crate::link::counted_stream;
 use crate::link::frame_reader;
@@ -49,13 +51,34 @@
         address: net::SocketAddr,
         hello: &hello::Hello,
     ) -> Result<Self, link_error::LinkError> {
-        let peer: sync::Arc<str> = address.to_string().into();
+        let peer = address.to_string();
+        let socket = dialer.connect(address).await.map_err(|error| {
+            link_error::LinkError::new(link_error::LinkStep::Connect, &peer, error)
+        })?;
+        let greeted = Self::handshake(socket, &peer, hello);
+        tokio::time::timeout(dialer.timeout, greeted)
+            .await
+            .map_err(|elapsed| {
+                link_error::LinkError::new(link_error::LinkStep::Hello, &peer, elapsed)
+            })?
+    }
+
+    /// Exchanges versions on a socket that is connected to `peer`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the socket breaks or the peer speaks another version.
+    pub async fn handshake<S>(
+        socket: S,
+        peer: &str,
+        hello: &hello::Hello,
+    ) -> Result<Self, link_error::LinkError>
+    where
+        S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+    {
+        let peer: sync::Arc<str> = peer.into();
         let connect_error =
             |error: String| link_error::LinkError::new(link_error::LinkStep::Connect, &peer, error);
-        let socket = dialer
-            .connect(address)
-            .await
-            .map_err(|error| connect_error(error.to_string()))?;
         let (sender, mut connection) = h2::client::Builder::new()
             .initial_window_size(STREAM_WINDOW_BYTES)
             .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
@@ -85,11 +108,7 @@
             greeting: sync::Arc::new(hello.clone()),
             peer: sync::Arc::clone(&peer),
         };
-        tokio::time::timeout(dialer.timeout, client.greet(hello))
-            .await
-            .map_err(|elapsed| {
-                link_error::LinkError::new(link_error::LinkStep::Hello, &peer, elapsed)
-            })??;
+        client.greet(hello).await?;
         Ok(client)
     }
 
--- a/src/link/counted_stream.rs
+++ b/src/link/counted_stream.rs
@@ -8,14 +8,14 @@
 
 /// A socket whose bytes are added to `persimmontack_link_bytes_total`, which is what the links of a
 /// process cost on the wire without the headers of TCP and IP.
-pub(super) struct CountedStream {
-    socket: tokio::net::TcpStream,
+pub(super) struct CountedStream<S> {
+    socket: S,
     sent: metrics::Counter,
     received: metrics::Counter,
 }
 
-impl CountedStream {
-    pub(super) fn new(socket: tokio::net::TcpStream) -> Self {
+impl<S> CountedStream<S> {
+    pub(super) fn new(socket: S) -> Self {
         Self {
             socket,
             sent: metrics::counter!("persimmontack_link_bytes_total", "direction" => "sent"),
@@ -31,7 +31,7 @@
     }
 }
 
-impl AsyncRead for CountedStream {
+impl<S: AsyncRead + Unpin> AsyncRead for CountedStream<S> {
     fn poll_read(
         mut self: pin::Pin<&mut Self>,
         context: &mut task::Context<'_>,
@@ -45,7 +45,7 @@
     }
 }
 
-impl AsyncWrite for CountedStream {
+impl<S: AsyncWrite + Unpin> AsyncWrite for CountedStream<S> {
     fn poll_write(
         mut self: pin::Pin<&mut Self>,
         context: &mut task::Context<'_>,
--- a/src/link/server.rs
+++ b/src/link/server.rs
@@ -3,6 +3,8 @@
 use std::future;
 use std::sync;
 
+use tokio::io::{AsyncRead, AsyncWrite};
+
 use crate::event;
 use crate::link::client;
 use crate::link::counted_stream;
@@ -58,6 +60,10 @@
             let handler = handler.clone();
             tokio::spawn(async move {
                 let peer = address.to_string();
+                if let Err(error) = socket.set_nodelay(true) {
+                    event::debug("link_closed", &[("peer", &peer), ("cause", &error)]);
+                    return;
+                }
                 if let Err(error) = serve_connection(socket, &peer, &hello, handler).await {
                     event::debug("link_closed", &[("peer", &peer), ("cause", &error)]);
                 }
@@ -66,22 +72,25 @@
     }
 }
 
-async fn serve_connection<H, F>(
-    socket: tokio::net::TcpStream,
+/// Serves one connection until it closes. `handler` runs in a task of its own per stream.
+///
+/// # Errors
+///
+/// Fails if the connection breaks.
+pub async fn serve_connection<S, H, F>(
+    socket: S,
     peer: &str,
     hello: &hello::Hello,
     handler: H,
 ) -> Result<(), link_error::LinkError>
 where
+    S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
     H: Fn(PeerStream) -> F + Clone + Send + 'static,
     F: Future<Output = ()> + Send + 'static,
 {
     let link_error = |error: &dyn ToString| {
         link_error::LinkError::new(link_error::LinkStep::Receive, peer, error.to_string())
     };
-    socket
-        .set_nodelay(true)
-        .map_err(|error| link_error(&error))?;
     let mut connection = h2::server::Builder::new()
         .initial_window_size(client::STREAM_WINDOW_BYTES)
         .initial_connection_window_size(client::CONNECTION_WINDOW_BYTES)
--- a/src/link/stream_kind.rs
+++ b/src/link/stream_kind.rs
@@ -13,6 +13,8 @@
     Tables,
     /// Membership and rules. Keeper to keeper.
     Gossip,
+    /// Statements of a session that one VM relays to another. Node to node.
+    Session,
     /// Operators' requests. `persimmonctl` to a keeper or an entry.
     Control,
 }
@@ -27,6 +29,7 @@
             Self::Observe => "/observe",
             Self::Tables => "/tables",
             Self::Gossip => "/gossip",
+            Self::Session => "/session",
             Self::Control => "/control",
         }
     }
@@ -40,6 +43,7 @@
             Self::Observe,
             Self::Tables,
             Self::Gossip,
+            Self::Session,
             Self::Control,
         ]
         .into_iter()
--- a/src/node/answers.rs
+++ b/src/node/answers.rs
@@ -1,11 +1,12 @@
 //! What upstreams answer, and what callers are told.
 
 use bytes::Bytes;
+use serde::{Deserialize, Serialize};
 
-use crate::model::log_position;
+use crate::model::{ids, log_position};
 
 /// Where a session or a connection stands.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum TransactionState {
     /// Outside a transaction.
     #[default]
@@ -17,7 +18,7 @@
 }
 
 /// Why a statement has no result.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, derive_more::Display)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize, derive_more::Display)]
 #[display(rename_all = "snake_case")]
 pub enum ErrorCode {
     /// Not run: no slot in time.
@@ -49,7 +50,7 @@
 }
 
 /// An error with the words that explain it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StatementError {
     /// The reason.
     pub code: ErrorCode,
@@ -89,7 +90,7 @@
 }
 
 /// What a caller is told about one request.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CallerAnswer {
     /// Rows, unchanged.
     pub rows: Vec<Bytes>,
@@ -97,6 +98,8 @@
     pub result: Result<Option<Bytes>, StatementError>,
     /// Where the session stands now.
     pub state: TransactionState,
+    /// Group and position of the commit, if the request was one that wrote.
+    pub written: Option<(ids::GroupId, log_position::LogPosition)>,
 }
 
 impl CallerAnswer {
@@ -107,6 +110,7 @@
             rows: Vec::new(),
             result: Ok(None),
             state,
+            written: None,
         }
     }
 
@@ -116,6 +120,7 @@
             rows: Vec::new(),
             result: Err(StatementError::new(code, text)),
             state,
+            written: None,
         }
     }
 
@@ -126,6 +131,7 @@
             rows: answer.rows,
             result: answer.result.map(Some),
             state,
+            written: None,
         }
     }
 }
--- a/src/node/board.rs
+++ b/src/node/board.rs
@@ -2,6 +2,7 @@
 
 use std::cell;
 use std::collections;
+use std::net;
 use std::rc;
 use std::time;
 
@@ -9,7 +10,9 @@
 
 use crate::decide::{ownership, retry_budget};
 use crate::model::ids;
-use crate::node::{config, edge, group, journal, limits, monitor, pool, upstream_entry};
+use crate::node::{
+    config, edge, group, hosts, journal, limits, member, monitor, peers, pool, upstream_entry,
+};
 
 thread_local! {
     static START: tokio::time::Instant = tokio::time::Instant::now();
@@ -28,12 +31,16 @@
     pub edge: E,
     /// Name of the VM.
     pub node: ids::VmId,
-    /// Data centre of the VM.
-    pub data_centre: ids::DataCentreId,
+    /// What the VM tells the others of itself.
+    pub own: member::MemberEntry,
     config: cell::RefCell<Option<rc::Rc<config::NodeConfig>>>,
     pools: cell::RefCell<collections::BTreeMap<ids::UpstreamId, rc::Rc<pool::UpstreamPool<E>>>>,
     groups: cell::RefCell<collections::BTreeMap<ids::GroupId, rc::Rc<group::GroupState>>>,
-    members: cell::RefCell<collections::BTreeMap<ids::VmId, ids::DataCentreId>>,
+    members: cell::RefCell<collections::BTreeMap<ids::VmId, member::MemberEntry>>,
+    /// Hosts of each group, until the members or the configuration change.
+    hosts: cell::RefCell<collections::BTreeMap<ids::GroupId, rc::Rc<Vec<ids::VmId>>>>,
+    /// Links to other VMs.
+    pub peers: peers::PeerTable,
     /// Bounds second attempts.
     pub budget: cell::RefCell<retry_budget::RetryBudget>,
     /// Wakes what waits for a change of the tables.
@@ -47,15 +54,17 @@
 impl<E: edge::NodeEdge> NodeBoard<E> {
     /// Creates empty tables.
     #[must_use]
-    pub fn new(edge: E, node: ids::VmId, data_centre: ids::DataCentreId) -> rc::Rc<Self> {
+    pub fn new(edge: E, node: ids::VmId, own: member::MemberEntry) -> rc::Rc<Self> {
         rc::Rc::new(Self {
             edge,
             node,
-            data_centre,
+            own,
             config: cell::RefCell::default(),
             pools: cell::RefCell::default(),
             groups: cell::RefCell::default(),
             members: cell::RefCell::default(),
+            hosts: cell::RefCell::default(),
+            peers: peers::PeerTable::default(),
             budget: cell::RefCell::default(),
             changed: Notify::new(),
             store_up: cell::Cell::default(),
@@ -85,6 +94,7 @@
         );
         metrics::gauge!("persimmontack_config_version").set(u64_gauge(config.version));
         *self.config.borrow_mut() = Some(rc::Rc::new(config));
+        self.hosts.borrow_mut().clear();
         self.changed.notify_waiters();
         true
     }
@@ -125,7 +135,7 @@
                 self.pools.borrow_mut().insert(upstream.clone(), pool);
             }
         }
-        if became && self.has_primary(&group) {
+        if became && self.has_primary(&group) && self.is_host(&group.group) {
             // The entry may be that of a primary that was replaced while it was cut off.
             monitor::verify_lead(self, &group, &upstream);
         } else if became {
@@ -237,15 +247,18 @@
         let answers = |pool: &rc::Rc<pool::UpstreamPool<E>>| {
             pool.health.get().heard().is_some() && !pool.is_suspect()
         };
-        self.config().is_some() && self.pools.borrow().values().any(answers)
+        if self.config().is_none() {
+            return false;
+        }
+        // A VM that hosts nothing relays everything.
+        let hosts = self.groups().iter().any(|group| self.is_host(&group.group));
+        !hosts || self.pools.borrow().values().any(answers)
     }
 
     /// Adds a VM to the members.
-    pub fn add_member(&self, member: &str, data_centre: &str) {
-        let before = self
-            .members
-            .borrow_mut()
-            .insert(member.to_owned(), data_centre.to_owned());
+    pub fn add_member(&self, member: &str, entry: member::MemberEntry) {
+        let before = self.members.borrow_mut().insert(member.to_owned(), entry);
+        self.hosts.borrow_mut().clear();
         if before.is_none() {
             journal::info(
                 "member_joined",
@@ -257,6 +270,7 @@
     /// Takes a VM out of the members.
     pub fn remove_member(&self, member: &str) {
         if self.members.borrow_mut().remove(member).is_some() {
+            self.hosts.borrow_mut().clear();
             journal::info(
                 "member_left",
                 &[("vm", &member), ("members", &self.member_count())],
@@ -264,13 +278,19 @@
         }
     }
 
-    /// Returns the members with their data centres.
+    /// Returns the members.
     #[must_use]
-    pub fn members(&self) -> collections::BTreeMap<ids::VmId, ids::DataCentreId> {
+    pub fn members(&self) -> collections::BTreeMap<ids::VmId, member::MemberEntry> {
         self.members.borrow().clone()
     }
 
-    /// Returns how many VMs share the connections of an upstream, this one included.
+    /// Returns where other VMs connect to a member.
+    #[must_use]
+    pub fn member_address(&self, member: &str) -> Option<net::SocketAddr> {
+        self.members.borrow().get(member).map(|entry| entry.address)
+    }
+
+    /// Returns how many VMs there are, this one included.
     #[must_use]
     pub fn member_count(&self) -> u32 {
         let members = self.members.borrow();
@@ -278,18 +298,60 @@
         (u32::try_from(members.len()).unwrap_or(u32::MAX) + own).max(1)
     }
 
-    /// Returns how many connections this VM may have to each upstream of a group.
-    #[must_use]
-    pub fn connection_share(&self, group: &str) -> u32 {
+    fn usable_connections(&self, group: &str) -> u32 {
         let most = self
             .config()
             .and_then(|config| config.groups.get(group).copied())
             .map_or(1, |limits| limits.max_connections);
-        (most.saturating_sub(limits::RESERVED_CONNECTIONS) / self.member_count()).max(1)
+        most.saturating_sub(limits::RESERVED_CONNECTIONS)
+    }
+
+    /// Returns the VMs that connect to the upstreams of a group.
+    #[must_use]
+    pub fn hosts(&self, group: &str) -> rc::Rc<Vec<ids::VmId>> {
+        if let Some(hosts) = self.hosts.borrow().get(group) {
+            return rc::Rc::clone(hosts);
+        }
+        let mut members = self.members();
+        members
+            .entry(self.node.clone())
+            .or_insert_with(|| self.own.clone());
+        let most = (self.usable_connections(group) / limits::HOST_CONNECTIONS).max(1);
+        let most = usize::try_from(most).unwrap_or(usize::MAX);
+        let hosts = rc::Rc::new(hosts::choose_hosts(group, &members, most));
+        self.hosts
+            .borrow_mut()
+            .insert(group.to_owned(), rc::Rc::clone(&hosts));
+        hosts
+    }
+
+    /// Returns the other hosts of a group in the order in which this VM turns to them.
+    #[must_use]
+    pub fn ordered_hosts(&self, group: &str) -> Vec<ids::VmId> {
+        let hosts = self.hosts(group);
+        hosts::order_hosts(
+            &hosts,
+            &self.members.borrow(),
+            &self.node,
+            &self.own.data_centre,
+        )
+    }
+
+    /// Tells whether this VM connects to the upstreams of a group.
+    #[must_use]
+    pub fn is_host(&self, group: &str) -> bool {
+        self.hosts(group).contains(&self.node)
     }
 
-    /// Returns this VM's place in the order in which VMs decide on a group. VMs in the data centre
-    /// of its primary come last: whatever took the primary may have taken them too.
+    /// Returns how many connections this VM may have to each upstream of a group.
+    #[must_use]
+    pub fn connection_share(&self, group: &str) -> u32 {
+        let hosts = u32::try_from(self.hosts(group).len()).unwrap_or(u32::MAX);
+        (self.usable_connections(group) / hosts.max(1)).max(1)
+    }
+
+    /// Returns this VM's place in the order in which the hosts of a group decide on it. Those in
+    /// the data centre of its primary come last: whatever took the primary may have taken them too.
     #[must_use]
     pub fn decision_rank(&self, group: &group::GroupState) -> u32 {
         let primary = self
@@ -299,14 +361,14 @@
             let far = primary.as_deref() != Some(data_centre);
             (far, ownership::score(&group.group, member))
         };
-        let own = order(&self.node, &self.data_centre);
+        let own = order(&self.node, &self.own.data_centre);
+        let members = self.members.borrow();
         let before = self
-            .members
-            .borrow()
+            .hosts(&group.group)
             .iter()
-            .filter(|(member, data_centre)| {
-                **member != self.node && order(member, data_centre) > own
-            })
+            .filter(|host| **host != self.node)
+            .filter_map(|host| Some(order(host, &members.get(host)?.data_centre)))
+            .filter(|other| *other > own)
             .count();
         u32::try_from(before).unwrap_or(u32::MAX)
     }
--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -106,7 +106,7 @@
                 edge::ControlChange::Upstream(entry) => {
                     upstreams.insert(entry.upstream.clone());
                 }
-                edge::ControlChange::Member(vm, _data_centre) => {
+                edge::ControlChange::Member(vm, _entry) => {
                     members.insert(vm.clone());
                 }
                 edge::ControlChange::Config(_)
@@ -151,9 +151,9 @@
                     self.vanish(Vanished::Upstream(upstream));
                 }
             }
-            edge::ControlChange::Member(vm, data_centre) => {
+            edge::ControlChange::Member(vm, entry) => {
                 self.vanished.remove(&Vanished::Member(vm.clone()));
-                self.board.add_member(&vm, &data_centre);
+                self.board.add_member(&vm, entry);
             }
             edge::ControlChange::MemberGone(vm) => self.vanish(Vanished::Member(vm)),
             edge::ControlChange::Decision(group, claim) => {
@@ -217,7 +217,7 @@
     board: &board::NodeBoard<E>,
 ) -> Result<E::Lease, edge::StoreError> {
     let ttl = limits::MEMBER_TTL;
-    board.edge.join(&board.node, &board.data_centre, ttl).await
+    board.edge.join(&board.node, &board.own, ttl).await
 }
 
 /// Keeps this VM's entry in the store alive until the node stops. The others may use its share of
--- a/src/node/edge.rs
+++ b/src/node/edge.rs
@@ -1,16 +1,22 @@
 //! The edges of a node: callers, upstreams and the store, each behind a trait.
 
 use std::io;
+use std::net;
 use std::time;
 
+use tokio::io::{AsyncRead, AsyncWrite};
+
 use crate::model::ids;
-use crate::node::{answers, command, config, request, upstream_entry};
+use crate::node::{answers, command, config, member, request, session_state, upstream_entry};
 
 /// Revision of the store; it only grows.
 pub type RevisionNumber = u64;
 
 /// A connection of a caller.
 pub trait CallerLink {
+    /// Whether another VM relays the session, so that this one has to run its statements itself.
+    const RELAYED: bool = false;
+
     /// Returns the database that the caller wants.
     fn accept(&mut self) -> impl Future<Output = Result<ids::DatabaseName, CallerError>>;
     /// Returns the next request. Dropping the future loses nothing.
@@ -21,6 +27,14 @@
     fn answer(&mut self, answer: &answers::CallerAnswer) -> impl Future<Output = io::Result<()>>;
     /// Tells the caller why the connection ends, and ends it.
     fn reject(&mut self, error: &answers::StatementError) -> impl Future<Output = ()>;
+    /// Returns what the session has set up elsewhere, if that came with the last request.
+    fn take_state(&mut self) -> Option<session_state::SessionState> {
+        None
+    }
+    /// Ends the connection outside a request.
+    fn close(&mut self) -> impl Future<Output = ()> {
+        std::future::ready(())
+    }
 }
 
 /// Why no request came from a caller.
@@ -96,8 +110,8 @@
     Upstream(upstream_entry::UpstreamEntry),
     /// An upstream's entry was removed.
     UpstreamGone(ids::UpstreamId),
-    /// A VM's entry, with its data centre.
-    Member(ids::VmId, ids::DataCentreId),
+    /// A VM's entry.
+    Member(ids::VmId, member::MemberEntry),
     /// A VM's entry was removed.
     MemberGone(ids::VmId),
     /// A VM has taken a number for a decision on the primary of a group.
@@ -154,6 +168,8 @@
     type Upstream: UpstreamLink + 'static;
     /// Lease of a VM's entry.
     type Lease: Clone;
+    /// Connections to other VMs.
+    type PeerSocket: AsyncRead + AsyncWrite + Unpin + Send + 'static;
 
     /// Returns the time since the start of the VM, suspensions included. The steady clock stands
     /// still during a suspension, and a position from before it would pass for a fresh one.
@@ -165,6 +181,12 @@
         entry: &upstream_entry::UpstreamEntry,
     ) -> impl Future<Output = Result<Self::Upstream, ConnectError>>;
 
+    /// Connects to another VM.
+    fn connect_peer(
+        &self,
+        address: net::SocketAddr,
+    ) -> impl Future<Output = io::Result<Self::PeerSocket>>;
+
     /// Reads everything that a node has to know from the store.
     fn read_all(&self) -> impl Future<Output = Result<ControlChanges, StoreError>>;
 
@@ -179,7 +201,7 @@
     fn join(
         &self,
         node: &str,
-        data_centre: &str,
+        entry: &member::MemberEntry,
         ttl: time::Duration,
     ) -> impl Future<Output = Result<Self::Lease, StoreError>>;
 
--- /dev/null
+++ b/src/node/hosts.rs
@@ -0,0 +1,63 @@
+//! Chooses the VMs that connect to the upstreams of a group. Pure: the members go in as values.
+
+use std::cmp;
+use std::collections;
+
+use crate::decide::ownership;
+use crate::model::ids;
+use crate::node::member;
+
+/// Returns at most `most` hosts of a group, spread over the data centres.
+///
+/// All VMs choose alike from the same members, and a change of members moves few groups.
+#[must_use]
+pub fn choose_hosts(
+    group: &str,
+    members: &collections::BTreeMap<ids::VmId, member::MemberEntry>,
+    most: usize,
+) -> Vec<ids::VmId> {
+    let mut scored: Vec<_> = members
+        .iter()
+        .map(|(vm, entry)| (cmp::Reverse(ownership::score(group, vm)), vm, entry))
+        .collect();
+    scored.sort_by_key(|(score, vm, _)| (*score, *vm));
+    let mut counts: collections::BTreeMap<&str, usize> = collections::BTreeMap::new();
+    let mut ranked: Vec<_> = scored
+        .into_iter()
+        .map(|(score, vm, entry)| {
+            let count = counts.entry(&entry.data_centre).or_default();
+            *count += 1;
+            (*count, score, vm)
+        })
+        .collect();
+    ranked.sort();
+    ranked
+        .into_iter()
+        .take(most)
+        .map(|(_, _, vm)| vm.clone())
+        .collect()
+}
+
+/// Orders the hosts of a group for one VM: those in its data centre first, and within them an
+/// order of its own, so that VMs do not all turn to the same host.
+#[must_use]
+pub fn order_hosts(
+    hosts: &[ids::VmId],
+    members: &collections::BTreeMap<ids::VmId, member::MemberEntry>,
+    node: &str,
+    data_centre: &str,
+) -> Vec<ids::VmId> {
+    let mut ordered: Vec<_> = hosts
+        .iter()
+        .filter(|host| *host != node)
+        .filter_map(|host| {
+            let remote = members.get(host)?.data_centre != data_centre;
+            Some((remote, cmp::Reverse(ownership::score(node, host)), host))
+        })
+        .collect();
+    ordered.sort();
+    ordered
+        .into_iter()
+        .map(|(_, _, host)| host.clone())
+        .collect()
+}
--- a/src/node/limits.rs
+++ b/src/node/limits.rs
@@ -49,6 +49,14 @@
 pub const COME_BACK: Duration = Duration::from_millis(100);
 /// Age of the newest position of a primary at which a new one is asked for.
 pub const POSITION_INTERVAL: Duration = Duration::from_millis(200);
+/// Fewest connections to an upstream that are worth being a host of its group.
+pub const HOST_CONNECTIONS: u32 = 3;
+/// Time within which a link to another VM has to be open.
+pub const PEER_TIMEOUT: Duration = Duration::from_millis(400);
+/// Pause before a VM that could not be reached is tried again.
+pub const PEER_PAUSE: Duration = Duration::from_millis(500);
+/// Time beyond a statement's timeout that its host gets to say how it ended.
+pub const RELAY_MARGIN: Duration = Duration::from_millis(60);
 /// Period of the monitor of a group.
 pub const MONITOR_TICK: Duration = Duration::from_millis(50);
 /// Time within which a probe has to be answered.
--- a/src/node/monitor.rs
+++ b/src/node/monitor.rs
@@ -37,6 +37,13 @@
         let now = board::steady_now();
         let gap = now.saturating_sub(last_tick);
         last_tick = now;
+        if !board.is_host(&group.group) {
+            for pool in board.pools_of(&group.group) {
+                pool.drop_idle();
+            }
+            since = None;
+            continue;
+        }
         let led = board.has_primary(&group);
         for pool in board.pools_of(&group.group) {
             pool.open_first();
--- /dev/null
+++ b/src/node/peers.rs
@@ -0,0 +1,102 @@
+//! [`PeerTable`]: the links of this VM to others.
+
+use std::cell;
+use std::collections;
+use std::net;
+use std::rc;
+
+use tokio::sync;
+use tokio::time::Instant;
+
+use crate::link::{client, hello};
+use crate::model::ids;
+use crate::node::{board, edge, journal, limits};
+
+/// Name of this program in the greeting of a link.
+pub const PROGRAM: &str = "persimmon-node";
+
+#[derive(Debug, Default)]
+struct PeerState {
+    client: Option<(net::SocketAddr, client::PeerClient)>,
+    /// Until when the VM is not tried again after it could not be reached.
+    not_before: Option<Instant>,
+}
+
+/// The links of this VM to others, opened when they are first needed.
+#[derive(Debug, Default)]
+pub struct PeerTable {
+    peers: cell::RefCell<collections::BTreeMap<ids::VmId, rc::Rc<sync::Mutex<PeerState>>>>,
+}
+
+impl PeerTable {
+    /// Returns a link to a VM.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the VM is not a member or cannot be reached.
+    pub async fn connect<E: edge::NodeEdge>(
+        &self,
+        board: &board::NodeBoard<E>,
+        vm: &str,
+    ) -> Result<client::PeerClient, String> {
+        let Some(address) = board.member_address(vm) else {
+            return Err(format!("{vm} is not a member"));
+        };
+        let state = rc::Rc::clone(self.peers.borrow_mut().entry(vm.to_owned()).or_default());
+        let mut state = state.lock().await;
+        if let Some((known, client)) = &state.client
+            && *known == address
+            && client.is_open()
+        {
+            return Ok(client.clone());
+        }
+        if state
+            .not_before
+            .is_some_and(|moment| Instant::now() < moment)
+        {
+            return Err(format!("{vm} could not be reached a moment ago"));
+        }
+        let greeting = hello::Hello::new(&board.node, PROGRAM);
+        let connect = async {
+            let socket = board
+                .edge
+                .connect_peer(address)
+                .await
+                .map_err(|error| error.to_string())?;
+            client::PeerClient::handshake(socket, &address.to_string(), &greeting)
+                .await
+                .map_err(|error| error.to_string())
+        };
+        let result = tokio::time::timeout(limits::PEER_TIMEOUT, connect)
+            .await
+            .unwrap_or_else(|elapsed| Err(elapsed.to_string()));
+        match result {
+            Ok(client) => {
+                journal::info("peer_connected", &[("vm", &vm), ("address", &address)]);
+                state.client = Some((address, client.clone()));
+                state.not_before = None;
+                Ok(client)
+            }
+            Err(error) => {
+                journal::warn(
+                    "peer_connect_failed",
+                    &[("vm", &vm), ("address", &address), ("reason", &error)],
+                );
+                state.client = None;
+                state.not_before = Some(Instant::now() + limits::PEER_PAUSE);
+                Err(error)
+            }
+        }
+    }
+
+    /// Has no session use a link that did not answer in time; a later one tries anew.
+    pub async fn distrust(&self, vm: &str) {
+        let state = self.peers.borrow().get(vm).cloned();
+        let Some(state) = state else {
+            return;
+        };
+        let mut state = state.lock().await;
+        state.client = None;
+        state.not_before = Some(Instant::now() + limits::PEER_PAUSE);
+    }
+}
--- a/src/node/reads.rs
+++ b/src/node/reads.rs
@@ -61,8 +61,9 @@
             .map(|pool| {
                 let health = pool.health.get();
                 let primary = self.group.is_primary(pool.upstream());
-                let (remote, leaving) = pool
-                    .read_entry(|entry| (entry.data_centre != board.data_centre, entry.leaving));
+                let (remote, leaving) = pool.read_entry(|entry| {
+                    (entry.data_centre != board.own.data_centre, entry.leaving)
+                });
                 // A primary that is leaving still serves what only it can serve.
                 let unusable = leaving && floor.is_some();
                 let lagging = !primary && pool.lagged(now);
--- /dev/null
+++ b/src/node/relay.rs
@@ -0,0 +1,249 @@
+//! [`RelaySession`]: a caller's session whose statements a host of the group runs.
+//!
+//! Upstreams allow too few connections for every VM to have some. A VM that is not a host of a
+//! group hands the statements on, and keeps what the session has set up, so that any host can go on
+//! with it outside a transaction. See `docs/node.md`, "Hosts".
+
+use std::rc;
+
+use tokio::time::Instant;
+
+use crate::link::{frame_reader, frame_writer, stream_kind};
+use crate::model::ids;
+use crate::node::{
+    answers, board, config, edge, journal, limits, relay_frame, request, session_state,
+};
+
+/// A statement that a host is to run.
+#[derive(Debug)]
+pub struct RelayOrder<'a> {
+    /// The statement.
+    pub request: &'a request::CallerRequest,
+    /// Whether it may write.
+    pub writes: bool,
+    /// Its database.
+    pub database: &'a str,
+    /// What the configuration says of the database.
+    pub route: &'a config::DatabaseRoute,
+    /// What the session has set up.
+    pub state: &'a rc::Rc<session_state::SessionState>,
+    /// When it arrived.
+    pub started: Instant,
+}
+
+/// How a relayed statement ended.
+#[derive(Debug)]
+pub enum RelayEnd {
+    /// The host's answer.
+    Answered(answers::CallerAnswer),
+    /// Nothing has run.
+    NotRun(String),
+    /// It may have run.
+    Unknown(String),
+}
+
+/// A stream to a host.
+#[derive(Debug)]
+struct HostStream {
+    host: ids::VmId,
+    writer: frame_writer::FrameWriter,
+    reader: frame_reader::FrameReader,
+    welcomed: bool,
+    /// What the host knows of the session.
+    known: rc::Rc<session_state::SessionState>,
+}
+
+/// A caller's session whose statements a host runs.
+#[derive(Debug, Default)]
+pub struct RelaySession {
+    stream: Option<HostStream>,
+    state: answers::TransactionState,
+    wrote: bool,
+}
+
+impl RelaySession {
+    /// Returns where the session stands at the host.
+    #[must_use]
+    pub const fn state(&self) -> answers::TransactionState {
+        self.state
+    }
+
+    /// Tells whether a transaction is open at the host, or has been lost with it.
+    #[must_use]
+    pub fn in_transaction(&self) -> bool {
+        self.state != answers::TransactionState::Idle
+    }
+
+    /// Tells whether the transaction may have written.
+    #[must_use]
+    pub const fn wrote(&self) -> bool {
+        self.wrote
+    }
+
+    /// Returns the host that runs the statements, or `-`.
+    #[must_use]
+    pub fn host(&self) -> String {
+        self.stream
+            .as_ref()
+            .map_or_else(|| "-".to_owned(), |stream| stream.host.clone())
+    }
+
+    /// Leaves the host, which rolls back what is open there.
+    pub fn leave(&mut self) {
+        self.stream = None;
+        self.state = answers::TransactionState::Idle;
+        self.wrote = false;
+    }
+
+    /// Has a host run a statement. What has not run, and reads outside a transaction, go to
+    /// another host if the first one fails.
+    pub async fn run<E: edge::NodeEdge>(
+        &mut self,
+        board: &board::NodeBoard<E>,
+        order: &RelayOrder<'_>,
+    ) -> RelayEnd {
+        let bound = self.in_transaction();
+        if !bound {
+            self.wrote = false;
+        }
+        let hold_limit = order.started + order.route.timeout.mul_f64(limits::HOLD_SHARE);
+        let limit = order.started + order.route.timeout + limits::RELAY_MARGIN;
+        let repeatable = !bound && !order.writes;
+        let mut tried = Vec::new();
+        loop {
+            let end = match self.reach(board, order, &mut tried).await {
+                Ok(()) => self.exchange(order, limit).await,
+                Err(reason) => RelayEnd::NotRun(reason),
+            };
+            let reason = match end {
+                RelayEnd::Answered(answer) => {
+                    self.state = answer.state;
+                    return RelayEnd::Answered(answer);
+                }
+                RelayEnd::NotRun(reason) => reason,
+                RelayEnd::Unknown(reason) if repeatable && Instant::now() < hold_limit => reason,
+                RelayEnd::Unknown(reason) => {
+                    self.lose(bound);
+                    return RelayEnd::Unknown(reason);
+                }
+            };
+            if bound || Instant::now() >= hold_limit {
+                self.lose(bound);
+                return RelayEnd::NotRun(reason);
+            }
+            let host = self.host();
+            journal::warn(
+                "relay_retried",
+                &[
+                    ("request", &order.request.id_text()),
+                    ("host", &host),
+                    ("reason", &reason),
+                ],
+            );
+            metrics::counter!("persimmontack_retries_total", "reason" => "relay").increment(1);
+            self.stream = None;
+            tokio::time::sleep(limits::ROUTE_PAUSE / 3).await;
+        }
+    }
+
+    /// Forgets the host. A transaction that was open there can only be ended.
+    fn lose(&mut self, bound: bool) {
+        self.stream = None;
+        self.state = if bound {
+            answers::TransactionState::Failed
+        } else {
+            answers::TransactionState::Idle
+        };
+    }
+
+    /// Makes sure that there is a stream to a host of the group.
+    async fn reach<E: edge::NodeEdge>(
+        &mut self,
+        board: &board::NodeBoard<E>,
+        order: &RelayOrder<'_>,
+        tried: &mut Vec<ids::VmId>,
+    ) -> Result<(), String> {
+        if self.in_transaction() {
+            return if self.stream.is_some() {
+                Ok(())
+            } else {
+                Err("the transaction was lost with its host".to_owned())
+            };
+        }
+        let hosts = board.hosts(&order.route.group);
+        if let Some(stream) = &self.stream
+            && hosts.contains(&stream.host)
+        {
+            if !tried.contains(&stream.host) {
+                tried.push(stream.host.clone());
+            }
+            return Ok(());
+        }
+        self.stream = None;
+        let ordered = board.ordered_hosts(&order.route.group);
+        let untried = ordered.iter().find(|host| !tried.contains(*host)).cloned();
+        let Some(host) = untried else {
+            tried.clear();
+            return Err("no host can be reached".to_owned());
+        };
+        tried.push(host.clone());
+        let client = board.peers.connect(board, &host).await?;
+        let (mut writer, reader) = client
+            .open(stream_kind::StreamKind::Session)
+            .await
+            .map_err(|error| error.to_string())?;
+        let open = relay_frame::RelayFrame::Open(order.database.to_owned());
+        writer
+            .send(&open)
+            .await
+            .map_err(|error| error.to_string())?;
+        self.stream = Some(HostStream {
+            host,
+            writer,
+            reader,
+            welcomed: false,
+            known: rc::Rc::default(),
+        });
+        Ok(())
+    }
+
+    async fn exchange(&mut self, order: &RelayOrder<'_>, limit: Instant) -> RelayEnd {
+        let Some(stream) = &mut self.stream else {
+            return RelayEnd::NotRun("no host".to_owned());
+        };
+        self.wrote |= order.writes;
+        let state = (!rc::Rc::ptr_eq(&stream.known, order.state))
+            .then(|| Box::new((**order.state).clone()));
+        stream.known = rc::Rc::clone(order.state);
+        let frame = relay_frame::RelayFrame::Request {
+            state,
+            request: order.request.clone(),
+        };
+        if let Err(error) = stream.writer.send(&frame).await {
+            return RelayEnd::NotRun(error.to_string());
+        }
+        loop {
+            let next = stream.reader.next::<relay_frame::RelayReply>();
+            let reply = match tokio::time::timeout_at(limit, next).await {
+                Ok(Ok(Some(reply))) => reply,
+                Ok(Ok(None)) => return RelayEnd::Unknown("the host has left".to_owned()),
+                Ok(Err(error)) => return RelayEnd::Unknown(error.to_string()),
+                Err(_elapsed) => return RelayEnd::Unknown("no answer in time".to_owned()),
+            };
+            match reply {
+                relay_frame::RelayReply::Welcome if !stream.welcomed => stream.welcomed = true,
+                relay_frame::RelayReply::Welcome => {
+                    return RelayEnd::Unknown("the host broke the protocol".to_owned());
+                }
+                relay_frame::RelayReply::Rejected(error) => {
+                    let text = String::from_utf8_lossy(&error.text).into_owned();
+                    return RelayEnd::NotRun(format!("{}: {text}", error.code));
+                }
+                relay_frame::RelayReply::Closing => {
+                    return RelayEnd::NotRun("the host is stopping".to_owned());
+                }
+                relay_frame::RelayReply::Answer(answer) => return RelayEnd::Answered(answer),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/node/relay_caller.rs
@@ -0,0 +1,128 @@
+//! [`RelayCaller`]: a caller whose session another VM relays to this one.
+
+use std::io;
+use std::rc;
+
+use tokio::sync::mpsc;
+
+use crate::link::server;
+use crate::model::ids;
+use crate::node::{
+    answers, board, edge, journal, relay_frame, request, session, session_state, stop,
+};
+
+/// Serves the sessions that other VMs relay to this one, as long as streams may come.
+pub async fn serve<E: edge::NodeEdge>(
+    board: rc::Rc<board::NodeBoard<E>>,
+    stop: rc::Rc<stop::StopState>,
+    mut streams: mpsc::UnboundedReceiver<server::PeerStream>,
+) {
+    while let Some(stream) = streams.recv().await {
+        let caller = RelayCaller::new(stream);
+        let serve = session::serve(rc::Rc::clone(&board), caller, rc::Rc::clone(&stop));
+        tokio::task::spawn_local(serve);
+    }
+}
+
+/// A caller whose session another VM relays to this one.
+#[derive(Debug)]
+pub struct RelayCaller {
+    stream: server::PeerStream,
+    state: Option<session_state::SessionState>,
+    /// Whether a request has been taken that is not answered.
+    owes: bool,
+}
+
+impl RelayCaller {
+    /// Takes a stream that another VM has opened.
+    #[must_use]
+    pub const fn new(stream: server::PeerStream) -> Self {
+        Self {
+            stream,
+            state: None,
+            owes: false,
+        }
+    }
+
+    async fn next(&mut self) -> Result<relay_frame::RelayFrame, edge::CallerError> {
+        match self.stream.reader.next().await {
+            Ok(Some(frame)) => Ok(frame),
+            Ok(None) => Err(edge::CallerError::Closed),
+            Err(error) => {
+                journal::debug(
+                    "relayed_session_lost",
+                    &[("peer", &self.stream.greeting.vm), ("reason", &error)],
+                );
+                Err(edge::CallerError::Closed)
+            }
+        }
+    }
+
+    async fn send(&mut self, reply: &relay_frame::RelayReply) -> io::Result<()> {
+        self.stream
+            .writer
+            .send(reply)
+            .await
+            .map_err(io::Error::other)
+    }
+}
+
+fn invalid(text: &'static str) -> edge::CallerError {
+    let code = answers::ErrorCode::Malformed;
+    edge::CallerError::Invalid(answers::StatementError::new(code, text))
+}
+
+impl edge::CallerLink for RelayCaller {
+    const RELAYED: bool = true;
+
+    async fn accept(&mut self) -> Result<ids::DatabaseName, edge::CallerError> {
+        match self.next().await? {
+            relay_frame::RelayFrame::Open(database) => Ok(database),
+            relay_frame::RelayFrame::Request { .. } => Err(invalid("the session is not open")),
+        }
+    }
+
+    async fn receive(&mut self) -> Result<request::CallerRequest, edge::CallerError> {
+        match self.next().await? {
+            relay_frame::RelayFrame::Request { state, request } => {
+                if state.is_some() {
+                    self.state = state.map(|state| *state);
+                }
+                self.owes = true;
+                Ok(request)
+            }
+            relay_frame::RelayFrame::Open(_) => Err(invalid("the session is open already")),
+        }
+    }
+
+    fn take_state(&mut self) -> Option<session_state::SessionState> {
+        self.state.take()
+    }
+
+    async fn welcome(&mut self) -> io::Result<()> {
+        self.send(&relay_frame::RelayReply::Welcome).await
+    }
+
+    async fn answer(&mut self, answer: &answers::CallerAnswer) -> io::Result<()> {
+        self.owes = false;
+        let reply = relay_frame::RelayReply::Answer(answer.clone());
+        self.send(&reply).await
+    }
+
+    async fn reject(&mut self, error: &answers::StatementError) {
+        let reply = relay_frame::RelayReply::Rejected(error.clone());
+        if let Err(error) = self.stream.writer.send_last(&reply).await {
+            journal::debug("relayed_session_lost", &[("reason", &error)]);
+        }
+    }
+
+    async fn close(&mut self) {
+        if self.owes {
+            return;
+        }
+        let reply = relay_frame::RelayReply::Closing;
+        if let Err(error) = self.stream.writer.send_last(&reply).await {
+            journal::debug("relayed_session_lost", &[("reason", &error)]);
+        }
+    }
+}
--- a/src/node/request.rs
+++ b/src/node/request.rs
@@ -1,9 +1,10 @@
 //! [`CallerRequest`]: one statement of a caller.
 
 use bytes::Bytes;
+use serde::{Deserialize, Serialize};
 
 /// Whether a prepared statement reads or writes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum AccessKind {
     /// It reads.
     Read,
@@ -12,7 +13,7 @@
 }
 
 /// What a prepared statement does, without the name that a caller gave it.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct PreparedShape {
     /// Whether it reads or writes.
     pub access: AccessKind,
@@ -21,7 +22,7 @@
 }
 
 /// What a statement does, as far as the node has to know.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StatementKind {
     /// Begins a transaction.
     Begin {
@@ -65,7 +66,7 @@
 }
 
 /// One statement of a caller.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CallerRequest {
     /// Id that the caller gave it. It goes to the upstream unchanged and into each log line.
     pub id: Bytes,
--- a/src/node/request_report.rs
+++ b/src/node/request_report.rs
@@ -50,6 +50,26 @@
         }
     }
 
+    /// Reports the answer of the host that ran the statement. The host has reported the rest.
+    pub fn relayed(&self, answer: &answers::CallerAnswer) {
+        let elapsed = self.started.elapsed();
+        let outcome = answer.result.as_ref().err().map(|error| error.code);
+        self.count(outcome.map_or("served", |_code| "failed"), elapsed);
+        let outcome = outcome.map_or_else(|| "served".to_owned(), |code| code.to_string());
+        let pairs: [(&str, &dyn std::fmt::Display); 5] = [
+            ("request", &self.request.id_text()),
+            ("database", &self.database),
+            ("host", &self.upstream),
+            ("outcome", &outcome),
+            ("elapsed_ms", &elapsed.as_millis()),
+        ];
+        if answer.result.is_err() {
+            journal::warn("request_relayed", &pairs);
+        } else {
+            journal::served("request_relayed", &pairs);
+        }
+    }
+
     /// Reports an error, with what decided it and how old that is.
     pub fn failed(&self, code: answers::ErrorCode, reason: &dyn std::fmt::Display) {
         let elapsed = self.started.elapsed();
--- a/src/node/session.rs
+++ b/src/node/session.rs
@@ -4,9 +4,10 @@
 
 use tokio::time::Instant;
 
+use crate::model::{ids, log_position};
 use crate::node::{
-    answers, attempt, board, config, edge, journal, limits, reads, request, request_report,
-    session_state, stop, transaction, writes,
+    answers, attempt, board, config, edge, group, journal, limits, reads, relay, request,
+    request_report, session_state, stop, transaction, writes,
 };
 
 /// Serves one caller until it leaves or the node stops.
@@ -45,8 +46,11 @@
         database,
         state: rc::Rc::default(),
         transaction: None,
+        relay: relay::RelaySession::default(),
+        relayed: C::RELAYED,
     };
     session.run(&mut link, &stop).await;
+    link.close().await;
     if let Some(mut transaction) = session.transaction.take() {
         transaction.roll_back().await;
     }
@@ -89,6 +93,9 @@
     database: String,
     state: rc::Rc<session_state::SessionState>,
     transaction: Option<transaction::OpenTransaction<E>>,
+    relay: relay::RelaySession,
+    /// Whether another VM relays the session to this one. It is not relayed any further.
+    relayed: bool,
 }
 
 impl<E: edge::NodeEdge> CallerSession<E> {
@@ -97,7 +104,7 @@
             let request = tokio::select! {
                 biased;
                 request = link.receive() => request,
-                () = stop.closes_idle(self.transaction.is_some()) => {
+                () = stop.closes_idle(self.in_transaction()) => {
                     journal::debug("session_closed", &[("reason", &"stopping")]);
                     return;
                 }
@@ -110,6 +117,9 @@
                 Ok(request) => request,
                 Err(error) => return reject(link, error).await,
             };
+            if let Some(state) = link.take_state() {
+                self.state = rc::Rc::new(state);
+            }
             let answer = self.handle(&request).await;
             if link.answer(&answer).await.is_err() {
                 return;
@@ -145,9 +155,13 @@
         }
     }
 
+    fn in_transaction(&self) -> bool {
+        self.transaction.is_some() || self.relay.in_transaction()
+    }
+
     fn transaction_state(&self) -> answers::TransactionState {
         match &self.transaction {
-            None => answers::TransactionState::Idle,
+            None => self.relay.state(),
             Some(transaction) if transaction.is_failed() => answers::TransactionState::Failed,
             Some(_) => answers::TransactionState::Open,
         }
@@ -163,6 +177,9 @@
             let text = "the transaction has failed; end it first";
             return answers::CallerAnswer::error(answers::ErrorCode::Malformed, text, state);
         }
+        if let Some(plan) = self.relay_plan(request) {
+            return self.relay(request, &plan).await;
+        }
         match &request.kind {
             request::StatementKind::Begin { read_only } => self.begin(request, *read_only),
             request::StatementKind::Commit => self.commit(request).await,
@@ -207,6 +224,108 @@
         })
     }
 
+    /// Returns the plan of a statement that another VM has to run.
+    fn relay_plan(&self, request: &request::CallerRequest) -> Option<reads::ReadPlan> {
+        let local = match &request.kind {
+            request::StatementKind::Set { .. }
+            | request::StatementKind::Prepare { .. }
+            | request::StatementKind::Forget { .. } => true,
+            request::StatementKind::Execute { name, .. } => self.state.prepared(name).is_none(),
+            request::StatementKind::Commit | request::StatementKind::Rollback => {
+                !self.relay.in_transaction()
+            }
+            request::StatementKind::Begin { .. }
+            | request::StatementKind::Read
+            | request::StatementKind::Write => false,
+        };
+        if local || self.relayed || self.transaction.is_some() {
+            return None;
+        }
+        let plan = self.plan()?;
+        let elsewhere = self.relay.in_transaction() || !self.board.is_host(&plan.route.group);
+        elsewhere.then_some(plan)
+    }
+
+    async fn relay(
+        &mut self,
+        request: &request::CallerRequest,
+        plan: &reads::ReadPlan,
+    ) -> answers::CallerAnswer {
+        let started = Instant::now();
+        let bound = self.relay.in_transaction();
+        let writes = match &request.kind {
+            request::StatementKind::Write => true,
+            request::StatementKind::Execute { name, .. } => self
+                .state
+                .prepared(name)
+                .is_some_and(|shape| shape.access == request::AccessKind::Write),
+            _ => false,
+        };
+        let order = relay::RelayOrder {
+            request,
+            writes,
+            database: &self.database,
+            route: &plan.route,
+            state: &self.state,
+            started,
+        };
+        let end = self.relay.run(&self.board, &order).await;
+        let host = self.relay.host();
+        let report = request_report::RequestReport {
+            board: &self.board,
+            request,
+            database: &self.database,
+            kind: "relayed",
+            route: &plan.route,
+            upstream: &host,
+            started,
+        };
+        let state = self.relay.state();
+        let (code, reason) = match end {
+            relay::RelayEnd::Answered(answer) => {
+                report.relayed(&answer);
+                if let Some((group, position)) = &answer.written {
+                    rc::Rc::make_mut(&mut self.state).record_commit(group, *position);
+                }
+                return answer;
+            }
+            relay::RelayEnd::NotRun(reason) if bound => (answers::ErrorCode::Aborted, reason),
+            relay::RelayEnd::NotRun(reason) => (answers::ErrorCode::Busy, reason),
+            relay::RelayEnd::Unknown(reason) => {
+                let commit = request.kind == request::StatementKind::Commit;
+                let code = if (commit && self.relay.wrote()) || (writes && !bound) {
+                    answers::ErrorCode::Unknown
+                } else {
+                    answers::ErrorCode::Aborted
+                };
+                (code, reason)
+            }
+        };
+        let ending = matches!(
+            request.kind,
+            request::StatementKind::Commit | request::StatementKind::Rollback
+        );
+        if ending {
+            self.relay.leave();
+        }
+        if request.kind == request::StatementKind::Rollback {
+            // The host rolls back what it has lost its caller for.
+            return answers::CallerAnswer::local(answers::TransactionState::Idle);
+        }
+        report.failed(code, &reason);
+        let state = if ending {
+            answers::TransactionState::Idle
+        } else {
+            state
+        };
+        let text = if code == answers::ErrorCode::Unknown {
+            reason
+        } else {
+            come_back(&reason)
+        };
+        answers::CallerAnswer::error(code, text, state)
+    }
+
     fn begin(
         &mut self,
         request: &request::CallerRequest,
@@ -268,7 +387,9 @@
                     rc::Rc::make_mut(&mut self.state).record_commit(group, position);
                 }
                 report.answered(&answer);
-                answers::CallerAnswer::pass(promise_kept(answer), idle)
+                let mut answer = answers::CallerAnswer::pass(promise_kept(answer), idle);
+                answer.written = self.written(transaction.group());
+                answer
             }
             transaction::TransactionEnd::Aborted(reason) => {
                 report.failed(answers::ErrorCode::Aborted, &reason);
@@ -281,6 +402,14 @@
         }
     }
 
+    fn written(
+        &self,
+        group: &group::GroupState,
+    ) -> Option<(ids::GroupId, log_position::LogPosition)> {
+        let position = self.state.written(&group.group)?;
+        Some((group.group.clone(), position))
+    }
+
     async fn statement(
         &mut self,
         request: &request::CallerRequest,
@@ -422,7 +551,9 @@
                 }
                 report.upstream = &upstream;
                 report.answered(&answer);
-                answers::CallerAnswer::pass(answer, idle)
+                let mut answer = answers::CallerAnswer::pass(answer, idle);
+                answer.written = self.written(&order.group);
+                answer
             }
             writes::WriteEnd::NotRun(reason) => {
                 report.failed(answers::ErrorCode::Busy, &reason);
--- a/src/node/session_state.rs
+++ b/src/node/session_state.rs
@@ -3,12 +3,13 @@
 use std::collections;
 
 use bytes::Bytes;
+use serde::{Deserialize, Serialize};
 
 use crate::model::{ids, log_position};
 use crate::node::request;
 
 /// What a session has set up and written.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SessionState {
     values: collections::BTreeMap<Bytes, Bytes>,
     prepared: collections::HashMap<Bytes, request::PreparedShape>,
--- a/src/pool/daemon.rs
+++ b/src/pool/daemon.rs
@@ -69,7 +69,8 @@
         stream_kind::StreamKind::Observe => feed::serve_observe(&table, stream).await,
         stream_kind::StreamKind::Tables
         | stream_kind::StreamKind::Gossip
-        | stream_kind::StreamKind::Control => {
+        | stream_kind::StreamKind::Control
+        | stream_kind::StreamKind::Session => {
             stream.writer.abort();
             Ok(())
         }
--- a/standins/src/cluster/cluster_edge.rs
+++ b/standins/src/cluster/cluster_edge.rs
@@ -3,14 +3,16 @@
 use std::cell;
 use std::collections;
 use std::io;
+use std::net;
 use std::rc;
 use std::time;
 
-use persimmontack::model::log_position;
-use persimmontack::node::{answers, command, edge, upstream_entry};
+use persimmontack::model::{ids, log_position};
+use persimmontack::node::{answers, command, edge, member, upstream_entry};
 
 use crate::cluster::cluster_state;
 use crate::cluster::connection_state;
+use crate::cluster::peer_network;
 
 /// Time after which a promoted instance leads.
 const PROMOTE_TIME: time::Duration = time::Duration::from_millis(50);
@@ -22,6 +24,8 @@
     pub state: rc::Rc<cell::RefCell<cluster_state::ClusterState>>,
     /// Wakes watches after a change of the store.
     pub changed: rc::Rc<cluster_state::StoreSignal>,
+    /// How VMs reach each other.
+    pub network: rc::Rc<peer_network::PeerNetwork>,
     started: tokio::time::Instant,
 }
 
@@ -32,6 +36,7 @@
         Self {
             state: rc::Rc::new(cell::RefCell::new(state)),
             changed: rc::Rc::default(),
+            network: rc::Rc::default(),
             started: tokio::time::Instant::now(),
         }
     }
@@ -108,7 +113,8 @@
 
 impl edge::NodeEdge for ClusterEdge {
     type Upstream = ClusterLink;
-    type Lease = ();
+    type Lease = ids::VmId;
+    type PeerSocket = tokio::io::DuplexStream;
 
     fn boot_time(&self) -> time::Duration {
         self.started.elapsed()
@@ -135,10 +141,20 @@
         })
     }
 
+    async fn connect_peer(&self, address: net::SocketAddr) -> io::Result<Self::PeerSocket> {
+        self.network.connect(address)
+    }
+
     async fn read_all(&self) -> Result<edge::ControlChanges, edge::StoreError> {
         self.check_store()?;
         let state = self.state.borrow();
         let mut changes = vec![edge::ControlChange::Config(state.config.clone())];
+        changes.extend(
+            state
+                .members
+                .iter()
+                .map(|(vm, entry)| edge::ControlChange::Member(vm.clone(), entry.clone())),
+        );
         changes.extend(
             state
                 .instances
@@ -186,19 +202,23 @@
 
     async fn join(
         &self,
-        _node: &str,
-        _data_centre: &str,
+        node: &str,
+        entry: &member::MemberEntry,
         _ttl: time::Duration,
     ) -> Result<Self::Lease, edge::StoreError> {
-        self.check_store()
+        self.check_store()?;
+        self.change(|state| state.join(node, entry));
+        Ok(node.to_owned())
     }
 
     async fn renew(&self, _lease: &Self::Lease) -> Result<(), edge::StoreError> {
         self.check_store()
     }
 
-    async fn leave(&self, _lease: &Self::Lease) -> Result<(), edge::StoreError> {
-        self.check_store()
+    async fn leave(&self, lease: &Self::Lease) -> Result<(), edge::StoreError> {
+        self.check_store()?;
+        self.change(|state| state.leave(lease));
+        Ok(())
     }
 
     async fn claim_decision(
--- a/standins/src/cluster/cluster_state.rs
+++ b/standins/src/cluster/cluster_state.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use persimmontack::model::{ids, log_position};
-use persimmontack::node::{answers, config, edge, upstream_entry};
+use persimmontack::node::{answers, config, edge, member, upstream_entry};
 use tokio::sync::Notify;
 
 /// One committed write.
@@ -54,6 +54,8 @@
 pub struct ClusterState {
     /// Instances by id.
     pub instances: collections::BTreeMap<ids::UpstreamId, InstanceState>,
+    /// VMs that have an entry.
+    pub members: collections::BTreeMap<ids::VmId, member::MemberEntry>,
     /// Latest configuration.
     pub config: config::NodeConfig,
     /// Changes of the store, in order.
@@ -84,6 +86,7 @@
     pub fn new(config: config::NodeConfig) -> Self {
         let mut state = Self {
             instances: collections::BTreeMap::new(),
+            members: collections::BTreeMap::new(),
             config: config.clone(),
             events: Vec::new(),
             revision: 1,
@@ -100,6 +103,18 @@
         state
     }
 
+    /// Writes a VM's entry.
+    pub fn join(&mut self, vm: &str, entry: &member::MemberEntry) {
+        self.members.insert(vm.to_owned(), entry.clone());
+        self.record(edge::ControlChange::Member(vm.to_owned(), entry.clone()));
+    }
+
+    /// Removes a VM's entry.
+    pub fn leave(&mut self, vm: &str) {
+        self.members.remove(vm);
+        self.record(edge::ControlChange::MemberGone(vm.to_owned()));
+    }
+
     fn add_instance(&mut self, name: &str, index: usize, primary: bool) {
         let port = 9_000 + u16::try_from(index).unwrap_or_default();
         let entry = upstream_entry::UpstreamEntry {
--- a/standins/src/cluster/mod.rs
+++ b/standins/src/cluster/mod.rs
@@ -6,4 +6,5 @@
 pub mod cluster_edge;
 pub mod cluster_state;
 pub mod connection_state;
+pub mod peer_network;
 pub mod test_caller;
--- /dev/null
+++ b/tests/node_relay.rs
@@ -0,0 +1,256 @@
+//! Statements of VMs that have no connections to a group, run by its hosts.
+
+mod node_support;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use bytes::Bytes;
+use node_support as support;
+use persimmontack::node::answers::{ErrorCode, TransactionState};
+use persimmontack::node::{config, hosts, limits, request};
+use standins::cluster::{cluster_edge, cluster_state};
+
+/// Starts VMs in one data centre, of which `hosts` may connect to the group, and sorts them: hosts
+/// first.
+async fn start(vms: u16, hosts: u32) -> Vec<support::Scene> {
+    let mut config = support::node_config(1);
+    let limits = config::GroupLimits {
+        max_connections: limits::RESERVED_CONNECTIONS + hosts * limits::HOST_CONNECTIONS,
+    };
+    config
+        .groups
+        .insert(cluster_state::GROUP.to_owned(), limits);
+    let edge = cluster_edge::ClusterEdge::new(cluster_state::ClusterState::new(config));
+    let mut scenes: Vec<_> = (1..=vms)
+        .map(|number| support::start(&edge, number, "dc-a"))
+        .collect();
+    for scene in &scenes {
+        scene
+            .until("all members are known", |scene| {
+                scene.board.members().len() == usize::from(vms) && scene.board.is_ready()
+            })
+            .await;
+    }
+    scenes.sort_by_key(|scene| !scene.board.is_host(cluster_state::GROUP));
+    let chosen = scenes
+        .iter()
+        .filter(|scene| scene.board.is_host(cluster_state::GROUP))
+        .count();
+    assert_eq!(u32::try_from(chosen), Ok(hosts));
+    // What was opened while the members were not known yet is closed again.
+    scenes[usize::from(vms) - 1]
+        .until("no connections are left", |scene| connections(scene) == 0)
+        .await;
+    scenes
+}
+
+fn connections(scene: &support::Scene) -> u32 {
+    let pools = scene.board.pools();
+    pools.iter().map(|pool| pool.connections()).sum()
+}
+
+fn set(name: &'static str) -> request::StatementKind {
+    request::StatementKind::Set {
+        name: Bytes::from_static(name.as_bytes()),
+        value: Bytes::from_static(b"1"),
+    }
+}
+
+/// Guards against more connections than an upstream allows: a VM beyond the hosts opens none, and
+/// still serves its callers.
+#[test]
+fn a_vm_that_is_no_host_serves_callers_without_connections() {
+    support::block_on(async {
+        let scenes = start(2, 1).await;
+        let guest = &scenes[1];
+        let mut caller = guest.caller(support::SESSION).await;
+        let written = caller.ask(support::write(), "WRITE 1 x").await;
+        assert!(matches!(written.result, Ok(Some(_))), "{written:?}");
+        let read = caller.ask(support::read(), "READ 1").await;
+        assert_eq!(support::rows(&read), ["x"]);
+        assert_eq!(connections(guest), 0);
+    });
+}
+
+/// Guards against values and named statements that stay behind on the VM that relays, or on the
+/// host for the next caller.
+#[test]
+fn what_a_session_has_set_up_goes_along() {
+    support::block_on(async {
+        let scenes = start(2, 1).await;
+        let mut first = scenes[1].caller(support::LATEST).await;
+        let mut second = scenes[1].caller(support::LATEST).await;
+        first.ask(set("mine"), "SET mine 1").await;
+        first.ask(support::read(), "READ 1").await;
+        second.ask(support::read(), "READ 1").await;
+        let mut state = scenes[0].edge.state.borrow_mut();
+        let ran_with = &state.instance("a").ran_with;
+        assert_eq!(*ran_with, [vec![Bytes::from_static(b"mine")], vec![]]);
+    });
+}
+
+/// Guards against a transaction whose statements are spread over connections, or that is left open
+/// at the host when its caller goes away.
+#[test]
+fn a_transaction_runs_on_one_host_and_ends_with_its_caller() {
+    support::block_on(async {
+        let scenes = start(2, 1).await;
+        let mut caller = scenes[1].caller(support::LATEST).await;
+        let begun = caller.ask(support::begin(false), "BEGIN").await;
+        assert_eq!(begun.state, TransactionState::Open);
+        caller.ask(support::write(), "WRITE 1 x").await;
+        let end = caller.ask(request::StatementKind::Commit, "COMMIT").await;
+        assert!(matches!(end.result, Ok(Some(_))), "{end:?}");
+        assert_eq!(end.state, TransactionState::Idle);
+        caller.ask(support::begin(false), "BEGIN").await;
+        caller.ask(support::write(), "WRITE 1 y").await;
+        drop(caller);
+        scenes[0]
+            .until("the host's session ends", |scene| {
+                scene.board.sessions.get() == 0
+            })
+            .await;
+        let mut other = scenes[1].caller(support::LATEST).await;
+        let read = other.ask(support::read(), "READ 1").await;
+        assert_eq!(support::rows(&read), ["x"]);
+    });
+}
+
+/// Guards against requests that fail because the host of an idle session is stopped as planned.
+#[test]
+fn a_session_moves_on_when_its_host_stops() {
+    support::block_on(async {
+        let scenes = start(3, 2).await;
+        let mut caller = scenes[2].caller(support::SESSION).await;
+        caller.ask(support::write(), "WRITE 1 x").await;
+        let serving = scenes
+            .iter()
+            .position(|scene| {
+                scene.board.sessions.get() > 0 && scene.board.node != scenes[2].board.node
+            })
+            .expect("a host");
+        scenes[serving].stop.begin(Duration::from_secs(6));
+        scenes[serving].stop.finished(&scenes[serving].board).await;
+        let read = caller.ask(support::read(), "READ 1").await;
+        assert_eq!(support::rows(&read), ["x"]);
+        let written = caller.ask(support::write(), "WRITE 1 y").await;
+        assert!(matches!(written.result, Ok(Some(_))), "{written:?}");
+    });
+}
+
+/// Guards against a write whose outcome is called unknown because its host closed the session as
+/// planned before it came: the VM that relays may not know yet that the host stops.
+#[test]
+fn a_write_that_comes_after_the_host_closed_the_session_is_run_in_another() {
+    support::block_on(async {
+        let scenes = start(2, 1).await;
+        let mut caller = scenes[1].caller(support::LATEST).await;
+        caller.ask(support::read(), "READ 1").await;
+        scenes[0].edge.change(|state| state.store_up = false);
+        scenes[0].stop.begin(Duration::from_secs(6));
+        scenes[0].stop.finished(&scenes[0].board).await;
+        let written = caller.ask(support::write(), "WRITE 1 x").await;
+        support::rows(&written);
+        assert_eq!(scenes[0].ran("a", "WRITE"), 1);
+    });
+}
+
+/// Guards against a write that runs twice because its host broke off, and against a promise that
+/// it has not run.
+#[test]
+fn a_write_whose_host_breaks_off_has_an_unknown_outcome() {
+    support::block_on(async {
+        let scenes = start(2, 1).await;
+        let mut caller = scenes[1].caller(support::LATEST).await;
+        caller.ask(support::read(), "READ 1").await;
+        scenes[0].instance("a", |instance| instance.lose_answers = 1);
+        caller.send(support::write(), "WRITE 1 x");
+        scenes[0]
+            .until("the write has run", |scene| scene.ran("a", "WRITE") == 1)
+            .await;
+        scenes[0].edge.network.cut(scenes[0].board.own.address);
+        let Some(standins::cluster::test_caller::CallerReply::Answer(answer)) =
+            caller.reply().await
+        else {
+            panic!("expected an answer");
+        };
+        assert_eq!(support::code(&answer), ErrorCode::Unknown);
+        assert_eq!(scenes[0].ran("a", "WRITE"), 1);
+    });
+}
+
+/// Guards against reads that fail with one host although another one can run them.
+#[test]
+fn a_read_whose_host_cannot_be_reached_goes_to_another() {
+    support::block_on(async {
+        let scenes = start(3, 2).await;
+        let mut caller = scenes[2].caller(support::LATEST).await;
+        let first = scenes[2].board.ordered_hosts(cluster_state::GROUP)[0].clone();
+        let address = scenes[2].board.member_address(&first).expect("a member");
+        scenes[2].edge.network.cut(address);
+        let read = caller.ask(support::read(), "READ 1").await;
+        support::rows(&read);
+    });
+}
+
+/// Guards against a transaction that goes on elsewhere after its host was lost, without its first
+/// statements.
+#[test]
+fn a_transaction_that_is_lost_with_its_host_is_aborted() {
+    support::block_on(async {
+        let scenes = start(3, 2).await;
+        let mut caller = scenes[2].caller(support::LATEST).await;
+        caller.ask(support::begin(false), "BEGIN").await;
+        caller.ask(support::write(), "WRITE 1 x").await;
+        for scene in &scenes[..2] {
+            scene.edge.network.cut(scene.board.own.address);
+        }
+        let next = caller.ask(support::write(), "WRITE 2 x").await;
+        assert_eq!(support::code(&next), ErrorCode::Aborted);
+        assert_eq!(next.state, TransactionState::Failed);
+        let end = caller
+            .ask(request::StatementKind::Rollback, "ROLLBACK")
+            .await;
+        assert_eq!(end.state, TransactionState::Idle);
+        assert!(scenes[0].edge.state.borrow().acknowledged.is_empty());
+    });
+}
+
+/// Guards against VMs that disagree on the hosts, hosts that all stand in one data centre, and a
+/// choice that moves many groups when one VM comes.
+#[test]
+fn hosts_are_spread_and_move_little() {
+    let mut members: BTreeMap<_, _> = (0..12)
+        .map(|number| {
+            let data_centre = format!("dc-{}", number % 3);
+            (
+                format!("vm-{number}"),
+                support::member(number, &data_centre),
+            )
+        })
+        .collect();
+    let choose = |members: &BTreeMap<_, _>| -> Vec<BTreeSet<String>> {
+        (0..40)
+            .map(|group| {
+                let chosen = hosts::choose_hosts(&format!("group-{group}"), members, 6);
+                chosen.into_iter().collect()
+            })
+            .collect()
+    };
+    let before = choose(&members);
+    for chosen in &before {
+        assert_eq!(chosen.len(), 6);
+        for data_centre in ["dc-0", "dc-1", "dc-2"] {
+            let there = chosen
+                .iter()
+                .filter(|vm| members[*vm].data_centre == data_centre);
+            assert_eq!(there.count(), 2);
+        }
+    }
+    members.insert("vm-12".to_owned(), support::member(12, "dc-0"));
+    let after = choose(&members);
+    for (before, after) in before.iter().zip(&after) {
+        assert!(before.difference(after).count() <= 1);
+    }
+}
--- a/tests/node_statements.rs
+++ b/tests/node_statements.rs
@@ -276,17 +276,11 @@
 /// read a configuration.
 #[test]
 fn a_caller_before_the_first_configuration_waits_or_may_come_back() {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .start_paused(true)
-        .build()
-        .expect("a runtime");
-    let tasks = tokio::task::LocalSet::new();
-    tasks.block_on(&runtime, async {
+    support::block_on(async {
         let state = standins::cluster::cluster_state::ClusterState::new(support::node_config(1));
         let edge = standins::cluster::cluster_edge::ClusterEdge::new(state);
-        let board =
-            persimmontack::node::board::NodeBoard::new(edge, "vm".to_owned(), "dc-a".to_owned());
+        let own = support::member(1, "dc-a");
+        let board = persimmontack::node::board::NodeBoard::new(edge, "vm-1".to_owned(), own);
         let (mut caller, link) = standins::cluster::test_caller::connect(support::LATEST);
         let stop = std::rc::Rc::default();
         let serve = persimmontack::node::session::serve(board, link, stop);
--- a/tests/node_support/mod.rs
+++ b/tests/node_support/mod.rs
@@ -3,11 +3,14 @@
 
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use persimmontack::node::{answers, board, config, control, request, session, stop};
+use persimmontack::node::{
+    answers, board, config, control, member, relay_caller, request, session, stop,
+};
 use standins::cluster::{cluster_edge, cluster_state, test_caller};
 
 /// Databases of the group: reads see everything, reads of a stated age, and read-your-writes.
@@ -53,28 +56,23 @@
     }
 }
 
-/// Runs a test on a node that knows its primary.
-pub fn run<F: Future<Output = ()>>(test: impl FnOnce(Scene) -> F) {
+/// Runs a test with the clock stopped.
+pub fn block_on(test: impl Future<Output = ()>) {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .start_paused(true)
         .build()
         .expect("a runtime");
     let tasks = tokio::task::LocalSet::new();
-    tasks.block_on(&runtime, async {
+    tasks.block_on(&runtime, test);
+}
+
+/// Runs a test on a node that knows its primary.
+pub fn run<F: Future<Output = ()>>(test: impl FnOnce(Scene) -> F) {
+    block_on(async {
         let state = cluster_state::ClusterState::new(node_config(1));
         let edge = cluster_edge::ClusterEdge::new(state);
-        let board = board::NodeBoard::new(edge.clone(), "vm-1".to_owned(), "dc-b".to_owned());
-        let scene = Scene {
-            edge,
-            board,
-            stop: Rc::default(),
-        };
-        tokio::task::spawn_local(control::follow(Rc::clone(&scene.board)));
-        tokio::task::spawn_local(control::stay_member(
-            Rc::clone(&scene.board),
-            Rc::clone(&scene.stop),
-        ));
+        let scene = start(&edge, 1, "dc-b");
         scene
             .until("a position of the primary is known", |scene| {
                 scene.primary() == "a" && scene.board.group(cluster_state::GROUP).newest().is_some()
@@ -84,6 +82,37 @@
     });
 }
 
+/// Returns what VM `number` tells the others.
+pub fn member(number: u16, data_centre: &str) -> member::MemberEntry {
+    member::MemberEntry {
+        data_centre: data_centre.to_owned(),
+        address: SocketAddr::from(([127, 0, 0, 1], 7_000 + number)),
+    }
+}
+
+/// Starts VM `number`.
+pub fn start(edge: &cluster_edge::ClusterEdge, number: u16, data_centre: &str) -> Scene {
+    let vm = format!("vm-{number}");
+    let own = member(number, data_centre);
+    let streams = edge.network.listen(own.address, &vm);
+    let scene = Scene {
+        edge: edge.clone(),
+        board: board::NodeBoard::new(edge.clone(), vm, own),
+        stop: Rc::default(),
+    };
+    tokio::task::spawn_local(control::follow(Rc::clone(&scene.board)));
+    tokio::task::spawn_local(control::stay_member(
+        Rc::clone(&scene.board),
+        Rc::clone(&scene.stop),
+    ));
+    tokio::task::spawn_local(relay_caller::serve(
+        Rc::clone(&scene.board),
+        Rc::clone(&scene.stop),
+        streams,
+    ));
+    scene
+}
+
 impl Scene {
     /// Opens a session.
     pub async fn caller(&self, database: &str) -> test_caller::TestCaller {
