Watch the store at most every 150 ms

Change: two watches start at least 150 ms apart; a change after a quiet spell is still seen at once.

--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -50,6 +50,7 @@
         loop {
             let wait = self.watch_wait();
             let board = rc::Rc::clone(&self.board);
+            let started = Instant::now();
             match board.edge.watch(revision, wait).await {
                 Ok(changes) => {
                     self.note_store(None);
@@ -57,6 +58,7 @@
                     for change in changes.changes {
                         self.apply(change);
                     }
+                    tokio::time::sleep_until(started + limits::WATCH_INTERVAL).await;
                 }
                 Err(edge::StoreError::HistoryGone) => {
                     journal::warn("store_history_gone", &[("revision", &revision)]);
--- a/src/node/limits.rs
+++ b/src/node/limits.rs
@@ -88,6 +88,9 @@
 pub const MEMBER_RENEWAL: Duration = Duration::from_secs(2);
 /// Longest wait of one watch. It bounds how long a connection that went silent goes unnoticed.
 pub const WATCH_WAIT: Duration = Duration::from_millis(4_000);
+/// Shortest time between the starts of two watches. Where many VMs or upstreams start at a time,
+/// each watch would otherwise bring one of them.
+pub const WATCH_INTERVAL: Duration = Duration::from_millis(150);
 /// Pause before the store is called again after a failure.
 pub const STORE_PAUSE: Duration = Duration::from_millis(250);
 /// Time after the return of the store for which entries that vanished with it are kept.
--- a/tests/node_relay.rs
+++ b/tests/node_relay.rs
@@ -7,8 +7,10 @@
 
 use bytes::Bytes;
 use node_support as support;
-use persimmontack::node::answers::{ErrorCode, TransactionState};
+use persimmontack::node::answers::{CallerAnswer, ErrorCode, TransactionState};
+use persimmontack::node::relay_frame::{RelayFrame, RelayReply};
 use persimmontack::node::{config, hosts, limits, request};
+use standins::cluster::test_caller::CallerReply;
 use standins::cluster::{cluster_edge, cluster_state};
 
 /// Starts VMs in one data centre, of which `hosts` may connect to the group, and sorts them: hosts
@@ -156,6 +158,68 @@
     });
 }
 
+/// Guards against a write whose outcome is called unknown although its host said that it ended the
+/// session without it.
+#[test]
+fn a_write_that_crosses_the_end_of_the_session_is_run_in_another() {
+    support::block_on(async {
+        let mut config = support::node_config(1);
+        let limits = config::GroupLimits { max_connections: 0 };
+        config
+            .groups
+            .insert(cluster_state::GROUP.to_owned(), limits);
+        let edge = cluster_edge::ClusterEdge::new(cluster_state::ClusterState::new(config));
+        let members = BTreeMap::from([("vm-1".to_owned(), support::member(1, "dc-a"))]);
+        let own = support::member(2, "dc-a");
+        let host = (0..)
+            .map(|number| format!("host-{number}"))
+            .find(|host| {
+                let mut members = members.clone();
+                members.insert(host.clone(), own.clone());
+                hosts::choose_hosts(cluster_state::GROUP, &members, 1) == [host.clone()]
+            })
+            .expect("a name");
+        let mut streams = edge.network.listen(own.address, &host);
+        edge.change(|state| state.join(&host, &own));
+        let guest = support::start(&edge, 1, "dc-a");
+        guest
+            .until("the host is known", |scene| {
+                scene.board.ordered_hosts(cluster_state::GROUP) == [host.clone()]
+            })
+            .await;
+        let mut caller = guest.caller(support::LATEST).await;
+        caller.send(support::write(), "WRITE 1 x");
+        for last in [RelayReply::Closing, RelayReply::Answer(served())] {
+            let opened = tokio::time::timeout(Duration::from_secs(60), streams.recv()).await;
+            let mut stream = opened.expect("in time").expect("a session");
+            for _frame in ["the opening", "the write"] {
+                stream.reader.expect::<RelayFrame>().await.expect("a frame");
+            }
+            stream
+                .writer
+                .send(&RelayReply::Welcome)
+                .await
+                .expect("sent");
+            stream.writer.send(&last).await.expect("sent");
+            // The stream stays open until the answer has been read.
+            guest.pass(Duration::from_millis(50)).await;
+        }
+        let Some(CallerReply::Answer(answer)) = caller.reply().await else {
+            panic!("expected an answer");
+        };
+        assert_eq!(answer, served());
+    });
+}
+
+fn served() -> CallerAnswer {
+    CallerAnswer {
+        rows: vec![],
+        result: Ok(Some(Bytes::from_static(b"signature"))),
+        state: TransactionState::Idle,
+        written: None,
+    }
+}
+
 /// Guards against a write that runs twice because its host broke off, and against a promise that
 /// it has not run.
 #[test]
@@ -170,9 +234,7 @@
             .until("the write has run", |scene| scene.ran("a", "WRITE") == 1)
             .await;
         scenes[0].edge.network.cut(scenes[0].board.own.address);
-        let Some(standins::cluster::test_caller::CallerReply::Answer(answer)) =
-            caller.reply().await
-        else {
+        let Some(CallerReply::Answer(answer)) = caller.reply().await else {
             panic!("expected an answer");
         };
         assert_eq!(support::code(&answer), ErrorCode::Unknown);
