Let the pause between watches grow with the members

Cause: upstreams register one after the other over four seconds, and each entry ended the watches of all 91 VMs. Change: two watches of a VM start at least 6 ms times the members apart, one second at most.

--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -58,7 +58,9 @@
                     for change in changes.changes {
                         self.apply(change);
                     }
-                    tokio::time::sleep_until(started + limits::WATCH_INTERVAL).await;
+                    let interval = limits::WATCH_INTERVAL * self.board.member_count();
+                    let interval = interval.min(limits::MAX_WATCH_INTERVAL);
+                    tokio::time::sleep_until(started + interval).await;
                 }
                 Err(edge::StoreError::HistoryGone) => {
                     journal::warn("store_history_gone", &[("revision", &revision)]);
--- a/src/node/limits.rs
+++ b/src/node/limits.rs
@@ -88,9 +88,11 @@
 pub const MEMBER_RENEWAL: Duration = Duration::from_secs(2);
 /// Longest wait of one watch. It bounds how long a connection that went silent goes unnoticed.
 pub const WATCH_WAIT: Duration = Duration::from_millis(4_000);
-/// Shortest time between the starts of two watches. Where many VMs or upstreams start at a time,
-/// each watch would otherwise bring one of them.
-pub const WATCH_INTERVAL: Duration = Duration::from_millis(150);
+/// Shortest time between the starts of two watches, for each member. It bounds the calls of all
+/// VMs together where many changes come one after the other.
+pub const WATCH_INTERVAL: Duration = Duration::from_millis(6);
+/// Longest time between the starts of two watches. A configuration has to be in force soon.
+pub const MAX_WATCH_INTERVAL: Duration = Duration::from_secs(1);
 /// Pause before the store is called again after a failure.
 pub const STORE_PAUSE: Duration = Duration::from_millis(250);
 /// Time after the return of the store for which entries that vanished with it are kept.
