Have few hosts a group, eight at least where connections allow

Cause: with 47 hosts of three connections each, what waits for one upstream is spread over 47 queues and windows that do not see each other. Change: as many hosts as have 16 connections each, but eight if these have three. The small sites stay as they are: all VMs are hosts.

--- a/src/node/board.rs
+++ b/src/node/board.rs
@@ -316,8 +316,7 @@
         members
             .entry(self.node.clone())
             .or_insert_with(|| self.own.clone());
-        let most = (self.usable_connections(group) / limits::HOST_CONNECTIONS).max(1);
-        let most = usize::try_from(most).unwrap_or(usize::MAX);
+        let most = hosts::count_hosts(self.usable_connections(group));
         let hosts = rc::Rc::new(hosts::choose_hosts(group, &members, most));
         self.hosts
             .borrow_mut()
--- a/src/node/hosts.rs
+++ b/src/node/hosts.rs
@@ -5,7 +5,15 @@
 
 use crate::decide::ownership;
 use crate::model::ids;
-use crate::node::member;
+use crate::node::{limits, member};
+
+/// Returns how many hosts may share `connections` to each upstream of a group.
+#[must_use]
+pub fn count_hosts(connections: u32) -> usize {
+    let wanted = connections / limits::HOST_CONNECTIONS;
+    let fewest = limits::FEWEST_HOSTS.min(connections / limits::LEAST_CONNECTIONS);
+    usize::try_from(wanted.max(fewest).max(1)).unwrap_or(usize::MAX)
+}
 
 /// Returns at most `most` hosts of a group, spread over the data centres.
 ///
--- a/src/node/limits.rs
+++ b/src/node/limits.rs
@@ -49,8 +49,13 @@
 pub const COME_BACK: Duration = Duration::from_millis(100);
 /// Age of the newest position of a primary at which a new one is asked for.
 pub const POSITION_INTERVAL: Duration = Duration::from_millis(200);
+/// Connections to an upstream that each host of its group should have. With few hosts, most of
+/// what waits for the upstream is in the same queues.
+pub const HOST_CONNECTIONS: u32 = 16;
+/// Hosts of a group that there should be even if each of them has fewer connections.
+pub const FEWEST_HOSTS: u32 = 8;
 /// Fewest connections to an upstream that are worth being a host of its group.
-pub const HOST_CONNECTIONS: u32 = 3;
+pub const LEAST_CONNECTIONS: u32 = 3;
 /// Time within which a link to another VM has to be open.
 pub const PEER_TIMEOUT: Duration = Duration::from_millis(400);
 /// Pause before a VM that could not be reached is tried again.
--- a/tests/node_relay.rs
+++ b/tests/node_relay.rs
@@ -18,7 +18,7 @@
 async fn start(vms: u16, hosts: u32) -> Vec<support::Scene> {
     let mut config = support::node_config(1);
     let limits = config::GroupLimits {
-        max_connections: limits::RESERVED_CONNECTIONS + hosts * limits::HOST_CONNECTIONS,
+        max_connections: limits::RESERVED_CONNECTIONS + hosts * limits::LEAST_CONNECTIONS,
     };
     config
         .groups
