Say not ready and close idle sessions while cut off from other data centres

Cause: VMs of a data centre that is cut off stayed ready, since the upstream beside them answered. Their callers were refused (no_upstream) for the whole cut although VMs of other data centres could serve them. Change: a VM that has no answer from an upstream of another data centre for 0.3 s is not ready; after 2.3 s, when the balancer has taken it out, it closes the sessions that it had before between two requests. A VM without connections asks a host. Four tests in node_isolation.rs, seen to fail without the sign of life, with transactions closed too, with later sessions closed, and with one silent upstream taken for a cut.

--- a/src/keeper/daemon.rs
+++ b/src/keeper/daemon.rs
@@ -133,7 +133,8 @@
                     stream_kind::StreamKind::Work
                     | stream_kind::StreamKind::Feed
                     | stream_kind::StreamKind::Observe
-                    | stream_kind::StreamKind::Session => {
+                    | stream_kind::StreamKind::Session
+                    | stream_kind::StreamKind::Reach => {
                         stream.writer.abort();
                         Ok(())
                     }
--- a/src/link/stream_kind.rs
+++ b/src/link/stream_kind.rs
@@ -15,6 +15,8 @@
     Gossip,
     /// Statements of a session that one VM relays to another. Node to node.
     Session,
+    /// Whether a VM is connected to other data centres. Node to node.
+    Reach,
     /// Operators' requests. `persimmonctl` to a keeper or an entry.
     Control,
 }
@@ -30,6 +32,7 @@
             Self::Tables => "/tables",
             Self::Gossip => "/gossip",
             Self::Session => "/session",
+            Self::Reach => "/reach",
             Self::Control => "/control",
         }
     }
@@ -44,6 +47,7 @@
             Self::Tables,
             Self::Gossip,
             Self::Session,
+            Self::Reach,
             Self::Control,
         ]
         .into_iter()
--- a/src/node/board.rs
+++ b/src/node/board.rs
@@ -11,7 +11,8 @@
 use crate::decide::{ownership, retry_budget};
 use crate::model::ids;
 use crate::node::{
-    config, edge, group, hosts, journal, limits, member, monitor, peers, pool, upstream_entry,
+    config, edge, group, hosts, isolation, journal, limits, member, monitor, peers, pool,
+    upstream_entry,
 };
 
 thread_local! {
@@ -41,6 +42,8 @@
     hosts: cell::RefCell<collections::BTreeMap<ids::GroupId, rc::Rc<Vec<ids::VmId>>>>,
     /// Links to other VMs.
     pub peers: peers::PeerTable,
+    /// Whether this VM is cut off.
+    pub isolation: isolation::IsolationState,
     /// Bounds second attempts.
     pub budget: cell::RefCell<retry_budget::RetryBudget>,
     /// Wakes what waits for a change of the tables.
@@ -65,6 +68,7 @@
             members: cell::RefCell::default(),
             hosts: cell::RefCell::default(),
             peers: peers::PeerTable::default(),
+            isolation: isolation::IsolationState::default(),
             budget: cell::RefCell::default(),
             changed: Notify::new(),
             store_up: cell::Cell::default(),
@@ -241,13 +245,14 @@
         self.groups.borrow().values().cloned().collect()
     }
 
-    /// Tells whether callers can be served: there is a configuration, and an upstream answers.
+    /// Tells whether callers can be served: there is a configuration, an upstream answers, and the
+    /// VM is not cut off.
     #[must_use]
     pub fn is_ready(&self) -> bool {
         let answers = |pool: &rc::Rc<pool::UpstreamPool<E>>| {
             pool.health.get().heard().is_some() && !pool.is_suspect()
         };
-        if self.config().is_none() {
+        if self.config().is_none() || self.isolation.is_isolated() {
             return false;
         }
         // A VM that hosts nothing relays everything.
--- /dev/null
+++ b/src/node/isolation.rs
@@ -0,0 +1,141 @@
+//! [`IsolationState`]: whether this VM is cut off from the upstreams of other data centres.
+//!
+//! A VM that is cut off says that it is not ready, so that the balancer sends its callers elsewhere,
+//! and after a while closes the sessions that it still has between their requests.
+
+use std::cell;
+use std::rc;
+
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+use crate::link::{server, stream_kind};
+use crate::node::{board, edge, journal, limits};
+
+/// Whether this VM is cut off.
+#[derive(Debug, Default)]
+pub struct IsolationState {
+    since: cell::Cell<Option<Instant>>,
+    changed: Notify,
+}
+
+impl IsolationState {
+    /// Tells whether the VM has been cut off for long enough to say so.
+    #[must_use]
+    pub fn is_isolated(&self) -> bool {
+        self.since
+            .get()
+            .is_some_and(|since| since.elapsed() >= limits::ISOLATED_AFTER)
+    }
+
+    /// Completes when a session that began at `started` is to be closed between two requests: the
+    /// balancer has sent new callers elsewhere by then. Later sessions stay, since it did not.
+    pub async fn closes_idle(&self, started: Instant) {
+        loop {
+            let changed = self.changed.notified();
+            match self.since.get().map(|since| since + limits::ISOLATED_CLOSE) {
+                Some(due) if started < due => {
+                    tokio::select! {
+                        () = tokio::time::sleep_until(due) => return,
+                        () = changed => {}
+                    }
+                }
+                _ => changed.await,
+            }
+        }
+    }
+
+    fn note(&self, connected: bool) {
+        if connected == self.since.get().is_none() {
+            return;
+        }
+        self.since.set((!connected).then(Instant::now));
+        self.changed.notify_waiters();
+        if connected {
+            journal::info("vm_connected_again", &[]);
+        } else {
+            journal::warn("vm_cut_off", &[]);
+        }
+    }
+}
+
+/// Watches the connections of this VM as long as the node runs.
+pub async fn watch<E: edge::NodeEdge>(board: rc::Rc<board::NodeBoard<E>>) {
+    loop {
+        let connected = match sees_others(&board) {
+            Some(connected) => {
+                tokio::time::sleep(limits::MONITOR_TICK).await;
+                connected
+            }
+            None => {
+                tokio::time::sleep(limits::ASK_INTERVAL).await;
+                ask_hosts(&board).await
+            }
+        };
+        board.isolation.note(connected);
+    }
+}
+
+/// Tells whether an upstream in another data centre answers. Returns nothing if this VM connects
+/// to none.
+#[must_use]
+pub fn sees_others<E: edge::NodeEdge>(board: &board::NodeBoard<E>) -> Option<bool> {
+    let remote: Vec<_> = board
+        .pools()
+        .into_iter()
+        .filter(|pool| {
+            pool.read_entry(|entry| {
+                entry.data_centre != board.own.data_centre && board.is_host(&entry.group)
+            })
+        })
+        .collect();
+    (!remote.is_empty()).then(|| remote.iter().any(|pool| !pool.is_suspect()))
+}
+
+/// Asks the nearest hosts whether they are connected. A VM that does not know any yet counts as
+/// connected, since it can only wait.
+async fn ask_hosts<E: edge::NodeEdge>(board: &board::NodeBoard<E>) -> bool {
+    let groups = board.groups();
+    let Some(group) = groups.first() else {
+        return true;
+    };
+    let hosts = board.ordered_hosts(&group.group);
+    for host in hosts.iter().take(limits::ASKED_HOSTS) {
+        match tokio::time::timeout(limits::PEER_TIMEOUT, ask(board, host)).await {
+            Ok(Ok(true)) => return true,
+            Ok(Ok(false)) => journal::debug("host_cut_off", &[("host", host)]),
+            Ok(Err(error)) => {
+                journal::debug("host_silent", &[("host", host), ("reason", &error)]);
+            }
+            Err(elapsed) => {
+                journal::debug("host_silent", &[("host", host), ("reason", &elapsed)]);
+                board.peers.distrust(host).await;
+            }
+        }
+    }
+    hosts.is_empty()
+}
+
+async fn ask<E: edge::NodeEdge>(board: &board::NodeBoard<E>, host: &str) -> Result<bool, String> {
+    let client = board.peers.connect(board, host).await?;
+    let (mut writer, mut reader) = client
+        .open(stream_kind::StreamKind::Reach)
+        .await
+        .map_err(|error| error.to_string())?;
+    writer.finish().map_err(|error| error.to_string())?;
+    reader.expect().await.map_err(|error| error.to_string())
+}
+
+/// Tells another VM whether this one is connected.
+pub async fn answer<E: edge::NodeEdge>(
+    board: rc::Rc<board::NodeBoard<E>>,
+    mut stream: server::PeerStream,
+) {
+    let connected = !board.isolation.is_isolated();
+    if let Err(error) = stream.writer.send_last(&connected).await {
+        journal::debug(
+            "peer_lost",
+            &[("vm", &stream.greeting.vm), ("reason", &error)],
+        );
+    }
+}
--- a/src/node/limits.rs
+++ b/src/node/limits.rs
@@ -56,6 +56,17 @@
 pub const FEWEST_HOSTS: u32 = 8;
 /// Fewest connections to an upstream that are worth being a host of its group.
 pub const LEAST_CONNECTIONS: u32 = 3;
+/// Time without a sign of life from another data centre after which one is asked for.
+pub const REACH_INTERVAL: Duration = Duration::from_millis(500);
+/// Time without an answer from another data centre after which a VM says that it is cut off.
+pub const ISOLATED_AFTER: Duration = Duration::from_millis(300);
+/// Time after which a VM that is cut off closes its sessions between two requests. The balancer
+/// has taken it out by then, after two probes, one a second.
+pub const ISOLATED_CLOSE: Duration = Duration::from_millis(2_300);
+/// Period at which a VM that hosts no group asks a host whether it is connected.
+pub const ASK_INTERVAL: Duration = Duration::from_millis(500);
+/// Hosts that it asks at most.
+pub const ASKED_HOSTS: usize = 2;
 /// Time within which a link to another VM has to be open.
 pub const PEER_TIMEOUT: Duration = Duration::from_millis(400);
 /// Pause before a VM that could not be reached is tried again.
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -19,6 +19,7 @@
 pub mod group;
 pub mod health;
 pub mod hosts;
+pub mod isolation;
 pub mod journal;
 pub mod limits;
 pub mod member;
--- a/src/node/monitor.rs
+++ b/src/node/monitor.rs
@@ -45,10 +45,26 @@
             continue;
         }
         let led = board.has_primary(&group);
-        for pool in board.pools_of(&group.group) {
+        let pools = board.pools_of(&group.group);
+        // One silent upstream may be the first sign of a data centre that is cut off. Without
+        // statements for the others, none of them would be found silent.
+        let heard_of = |pool: &rc::Rc<pool::UpstreamPool<E>>| {
+            now.saturating_sub(pool.health.get().heard().unwrap_or_default())
+        };
+        let is_remote = |pool: &rc::Rc<pool::UpstreamPool<E>>| {
+            pool.read_entry(|entry| entry.data_centre != board.own.data_centre)
+        };
+        let unheard = pools
+            .iter()
+            .filter(|pool| is_remote(pool))
+            .all(|pool| heard_of(pool) > limits::REACH_INTERVAL);
+        let doubtful = unheard || pools.iter().any(|pool| pool.is_suspect());
+        for pool in pools {
             pool.open_first();
             pool.trim();
-            if pool.health.get().wants_probe(now) || !led {
+            let health = pool.health.get();
+            let quiet = heard_of(&pool) > limits::POSITION_INTERVAL;
+            if health.wants_probe(now) || !led || (doubtful && quiet) {
                 spawn_probe(&board, &group, &pool, &probing);
             }
         }
--- a/src/node/relay_caller.rs
+++ b/src/node/relay_caller.rs
@@ -5,22 +5,35 @@
 
 use tokio::sync::mpsc;
 
-use crate::link::server;
+use crate::link::{server, stream_kind};
 use crate::model::ids;
 use crate::node::{
-    answers, board, edge, journal, relay_frame, request, session, session_state, stop,
+    answers, board, edge, isolation, journal, relay_frame, request, session, session_state, stop,
 };
 
-/// Serves the sessions that other VMs relay to this one, as long as streams may come.
+/// Serves the streams that other VMs open, as long as some may come.
 pub async fn serve<E: edge::NodeEdge>(
     board: rc::Rc<board::NodeBoard<E>>,
     stop: rc::Rc<stop::StopState>,
     mut streams: mpsc::UnboundedReceiver<server::PeerStream>,
 ) {
-    while let Some(stream) = streams.recv().await {
-        let caller = RelayCaller::new(stream);
-        let serve = session::serve(rc::Rc::clone(&board), caller, rc::Rc::clone(&stop));
-        tokio::task::spawn_local(serve);
+    while let Some(mut stream) = streams.recv().await {
+        match stream.kind {
+            stream_kind::StreamKind::Session => {
+                let caller = RelayCaller::new(stream);
+                let serve = session::serve(rc::Rc::clone(&board), caller, rc::Rc::clone(&stop));
+                tokio::task::spawn_local(serve);
+            }
+            stream_kind::StreamKind::Reach => {
+                tokio::task::spawn_local(isolation::answer(rc::Rc::clone(&board), stream));
+            }
+            stream_kind::StreamKind::Work
+            | stream_kind::StreamKind::Feed
+            | stream_kind::StreamKind::Observe
+            | stream_kind::StreamKind::Tables
+            | stream_kind::StreamKind::Gossip
+            | stream_kind::StreamKind::Control => stream.writer.abort(),
+        }
     }
 }
 
--- a/src/node/session.rs
+++ b/src/node/session.rs
@@ -100,6 +100,8 @@
 
 impl<E: edge::NodeEdge> CallerSession<E> {
     async fn run<C: edge::CallerLink>(&mut self, link: &mut C, stop: &stop::StopState) {
+        let started = Instant::now();
+        let board = rc::Rc::clone(&self.board);
         loop {
             let request = tokio::select! {
                 biased;
@@ -108,6 +110,10 @@
                     journal::debug("session_closed", &[("reason", &"stopping")]);
                     return;
                 }
+                () = board.isolation.closes_idle(started), if !self.in_transaction() => {
+                    journal::info("session_closed", &[("reason", &"cut_off")]);
+                    return;
+                }
                 () = self.idle_limit() => {
                     self.expire().await;
                     continue;
--- a/src/pool/daemon.rs
+++ b/src/pool/daemon.rs
@@ -70,7 +70,8 @@
         stream_kind::StreamKind::Tables
         | stream_kind::StreamKind::Gossip
         | stream_kind::StreamKind::Control
-        | stream_kind::StreamKind::Session => {
+        | stream_kind::StreamKind::Session
+        | stream_kind::StreamKind::Reach => {
             stream.writer.abort();
             Ok(())
         }
--- /dev/null
+++ b/tests/node_isolation.rs
@@ -0,0 +1,145 @@
+//! VMs that are cut off from the upstreams of other data centres.
+
+mod node_support;
+
+use std::time::Duration;
+
+use node_support as support;
+use persimmontack::node::{config, limits};
+use standins::cluster::{cluster_edge, cluster_state};
+
+/// Starts a VM in the data centre of `a`, the primary.
+fn run<F: Future<Output = ()>>(test: impl FnOnce(support::Scene) -> F) {
+    support::block_on(async {
+        let state = cluster_state::ClusterState::new(support::node_config(1));
+        let scene = support::start(&cluster_edge::ClusterEdge::new(state), 1, "dc-a");
+        scene
+            .until("the VM is ready", |scene| {
+                scene.primary() == "a" && scene.board.is_ready()
+            })
+            .await;
+        test(scene).await;
+    });
+}
+
+fn set_up(scene: &support::Scene, names: &[&str], up: bool) {
+    for name in names {
+        scene.instance(name, |instance| instance.up = up);
+    }
+}
+
+/// Guards against callers that stay with a VM which can serve nothing fresh, although VMs of other
+/// data centres could.
+#[test]
+fn a_vm_that_is_cut_off_sends_its_callers_elsewhere() {
+    run(|scene| async move {
+        let mut caller = scene.caller(support::AGED).await;
+        support::rows(&caller.ask(support::read(), "READ 1").await);
+        set_up(&scene, &["b", "c"], false);
+        scene
+            .until("the VM is not ready", |scene| !scene.board.is_ready())
+            .await;
+        let closed = tokio::time::timeout(Duration::from_secs(10), caller.reply()).await;
+        assert_eq!(closed, Ok(None));
+        // The balancer has nowhere else to go if callers still come.
+        let mut late = scene.caller(support::AGED).await;
+        scene.pass(limits::ISOLATED_CLOSE * 2).await;
+        late.send(support::read(), "READ 2");
+        assert!(late.reply().await.is_some());
+        set_up(&scene, &["b", "c"], true);
+        scene
+            .until("the VM is ready again", |scene| scene.board.is_ready())
+            .await;
+    });
+}
+
+/// Guards against a transaction that ends because its VM sends callers elsewhere.
+#[test]
+fn an_open_transaction_stays() {
+    run(|scene| async move {
+        let mut caller = scene.caller(support::AGED).await;
+        caller.ask(support::begin(true), "BEGIN READ").await;
+        support::rows(&caller.ask(support::read(), "READ 1").await);
+        set_up(&scene, &["b", "c"], false);
+        scene
+            .until("the VM is not ready", |scene| !scene.board.is_ready())
+            .await;
+        let step = Duration::from_millis(500);
+        let mut passed = Duration::ZERO;
+        while passed < limits::ISOLATED_CLOSE * 2 {
+            scene.pass(step).await;
+            passed += step;
+            support::rows(&caller.ask(support::read(), "READ 1").await);
+        }
+    });
+}
+
+/// Guards against a whole deployment that stops serving because one upstream is down.
+#[test]
+fn a_vm_that_misses_one_upstream_stays_ready() {
+    run(|scene| async move {
+        for down in ["b", "c"] {
+            set_up(&scene, &[down], false);
+            for _tick in 0..60 {
+                scene.pass(Duration::from_millis(50)).await;
+                assert!(scene.board.is_ready(), "without {down}");
+            }
+            set_up(&scene, &[down], true);
+            scene
+                .until("the upstream answers again", |scene| {
+                    scene
+                        .board
+                        .pool(down)
+                        .is_some_and(|pool| !pool.is_suspect())
+                })
+                .await;
+        }
+    });
+}
+
+/// Guards against a VM without connections of its own that keeps its callers although its hosts
+/// are cut off, or cannot be reached.
+#[test]
+fn a_vm_without_connections_goes_by_its_hosts() {
+    support::block_on(async {
+        let mut config = support::node_config(1);
+        let limits = config::GroupLimits { max_connections: 0 };
+        config
+            .groups
+            .insert(cluster_state::GROUP.to_owned(), limits);
+        let edge = cluster_edge::ClusterEdge::new(cluster_state::ClusterState::new(config));
+        let mut scenes = vec![
+            support::start(&edge, 1, "dc-a"),
+            support::start(&edge, 2, "dc-a"),
+        ];
+        for scene in &scenes {
+            scene
+                .until("both VMs are ready", |scene| {
+                    scene.board.members().len() == 2 && scene.board.is_ready()
+                })
+                .await;
+        }
+        scenes.sort_by_key(|scene| !scene.board.is_host(cluster_state::GROUP));
+        let [host, guest] = &scenes[..] else {
+            panic!("expected two VMs");
+        };
+        guest.pass(Duration::from_secs(3)).await;
+        assert!(guest.board.is_ready());
+        set_up(guest, &["b", "c"], false);
+        guest
+            .until("the host is cut off", |scene| !scene.board.is_ready())
+            .await;
+        set_up(guest, &["b", "c"], true);
+        guest
+            .until("the host is connected again", |scene| {
+                scene.board.is_ready()
+            })
+            .await;
+        guest.edge.network.cut(host.board.own.address);
+        guest
+            .until("the host cannot be reached", |scene| {
+                !scene.board.is_ready()
+            })
+            .await;
+    });
+}
--- a/tests/node_support/mod.rs
+++ b/tests/node_support/mod.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use persimmontack::node::{
-    answers, board, config, control, member, relay_caller, request, session, stop,
+    answers, board, config, control, isolation, member, relay_caller, request, session, stop,
 };
 use standins::cluster::{cluster_edge, cluster_state, test_caller};
 
@@ -105,6 +105,7 @@
         Rc::clone(&scene.board),
         Rc::clone(&scene.stop),
     ));
+    tokio::task::spawn_local(isolation::watch(Rc::clone(&scene.board)));
     tokio::task::spawn_local(relay_caller::serve(
         Rc::clone(&scene.board),
         Rc::clone(&scene.stop),
