--- a/tests/node_statements.rs
+++ b/tests/node_statements.rs
@@ -51,19 +51,37 @@
         support::rows(&writer.ask(support::write(), "WRITE item old").await);
         let mut reader = scene.caller(support::LATEST).await;
         support::rows(&reader.ask(support::read(), "READ item").await);
-        // Another VM moves the lead, and this one has not heard of it.
-        scene.edge.change(|state| state.store_up = false);
-        scene
-            .until("the outage is seen", |scene| !scene.board.store_up.get())
-            .await;
-        assert_eq!(scene.primary(), "a");
-        scene.edge.state.borrow_mut().promote("c", 1_000);
-        scene.instance("a", |instance| instance.receives = false);
-        scene.edge.state.borrow_mut().commit(
-            "c",
-            &Bytes::from_static(b"other"),
-            vec![(Bytes::from_static(b"item"), Bytes::from_static(b"new"))],
-        );
+        replace_unheard(&scene).await;
+        let answer = reader.ask(support::read(), "READ item").await;
+        assert_eq!(support::rows(&answer), [Bytes::from_static(b"new")]);
+    });
+}
+
+/// Has another VM move the lead and commit there, without this one hearing of it.
+async fn replace_unheard(scene: &support::Scene) {
+    scene.edge.change(|state| state.store_up = false);
+    scene
+        .until("the outage is seen", |scene| !scene.board.store_up.get())
+        .await;
+    assert_eq!(scene.primary(), "a");
+    scene.edge.state.borrow_mut().promote("c", 1_000);
+    scene.instance("a", |instance| instance.receives = false);
+    scene.edge.state.borrow_mut().commit(
+        "c",
+        &Bytes::from_static(b"other"),
+        vec![(Bytes::from_static(b"item"), Bytes::from_static(b"new"))],
+    );
+}
+
+/// Guards against a reading transaction of everything that begins at a primary which was replaced
+/// and does not know it yet.
+#[test]
+fn a_reading_transaction_of_everything_does_not_begin_at_a_replaced_primary() {
+    support::run(|scene| async move {
+        let mut reader = scene.caller(support::LATEST).await;
+        support::rows(&reader.ask(support::write(), "WRITE item old").await);
+        replace_unheard(&scene).await;
+        reader.ask(support::begin(true), "BEGIN READ").await;
         let answer = reader.ask(support::read(), "READ item").await;
         assert_eq!(support::rows(&answer), [Bytes::from_static(b"new")]);
     });
--- a/tests/node_tables.rs
+++ b/tests/node_tables.rs
@@ -89,9 +89,9 @@
         scene
             .edge
             .change(|state| state.record(ControlChange::UpstreamGone("b".to_owned())));
-        scene
-            .until("b is dropped", |scene| scene.board.pool("b").is_none())
-            .await;
+        // Far less than an entry that vanished for another reason is kept.
+        scene.pass(Duration::from_millis(100)).await;
+        assert!(scene.board.pool("b").is_none());
     });
 }
 
