--- a/load/src/slopes/rules.rs
+++ b/load/src/slopes/rules.rs
@@ -1,7 +1,7 @@
 //! The rules: reading the whole text, and taking changes one by one.
 
 use persimmontack::decide::rule_log;
-use persimmontack::rules::rule_set;
+use persimmontack::rules::file_parser;
 
 use crate::slopes::{cost, deployment, row};
 
@@ -25,9 +25,9 @@
             text.len() as f64 / VALUE_BYTES,
             "store values",
         );
-        let parse = cost::microseconds(|| rule_set::RuleSet::parse(&text).is_ok());
+        let parse = cost::microseconds(|| file_parser::parse(&text).is_ok());
         add("rules, parse of the text", parse, "us");
-        let (_set, held) = cost::held_bytes(|| rule_set::RuleSet::parse(&text));
+        let (_set, held) = cost::held_bytes(|| file_parser::parse(&text));
         add("rules, parsed", held as f64, "bytes held");
         let change = change(&text, 1);
         let apply = cost::microseconds(|| rule_log::apply(&text, &change).is_ok());
--- a/src/ctl/config.rs
+++ b/src/ctl/config.rs
@@ -13,7 +13,7 @@
 use crate::link::control;
 use crate::model::ids;
 use crate::platform::client;
-use crate::rules::{rule_set, time_text};
+use crate::rules::{file_parser, rule_set, time_text};
 
 /// Time within which one call to the platform or a peer has to be answered. The platform answers
 /// in milliseconds, and a caller's whole wait stays below the default limit.
@@ -289,7 +289,7 @@
 /// Reads a drain rule with the rules' own grammar.
 fn drain_rule(target: &str, requester: &str) -> Result<rule_set::DrainRule, ctl_error::CtlError> {
     let line = format!("drain {target} # asked for by: {requester}");
-    let rules = rule_set::RuleSet::parse(&line).map_err(|errors| {
+    let rules = file_parser::parse(&line).map_err(|errors| {
         let problems: Vec<_> = errors.into_iter().map(|error| error.problem).collect();
         ctl_error::CtlError::usage(problems.join("; "))
     })?;
--- a/src/ctl/drain.rs
+++ b/src/ctl/drain.rs
@@ -8,7 +8,7 @@
 use crate::ctl::rule_store;
 use crate::ctl::rules_file;
 use crate::exit_code;
-use crate::rules::rule_set;
+use crate::rules::{file_parser, rule_set};
 
 /// Attempts against other operators. Adding or removing one line fits onto any revision, so a lost
 /// race only means another attempt.
@@ -78,7 +78,7 @@
 /// that is not valid does not hide the others.
 fn drains(text: &str, target: &rule_set::DrainTarget) -> bool {
     text.lines()
-        .filter_map(|line| rule_set::RuleSet::parse(line).ok())
+        .filter_map(|line| file_parser::parse(line).ok())
         .any(|rules| rules.drains.iter().any(|rule| rule.target == *target))
 }
 
--- a/src/ctl/rules_file.rs
+++ b/src/ctl/rules_file.rs
@@ -6,7 +6,7 @@
 
 use crate::ctl::ctl_error;
 use crate::exit_code;
-use crate::rules::rule_set;
+use crate::rules::{file_parser, rule_set};
 
 /// Reads a file, or standard input for `-`.
 pub(super) fn read(file: &str) -> Result<String, ctl_error::CtlError> {
@@ -36,7 +36,7 @@
 
 /// Checks the text of a file.
 pub(super) fn parse(file: &str, text: &str) -> Result<rule_set::RuleSet, ctl_error::CtlError> {
-    rule_set::RuleSet::parse(text).map_err(|errors| {
+    file_parser::parse(text).map_err(|errors| {
         let list = errors
             .iter()
             .map(|error| {
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -12,7 +12,7 @@
 use crate::health;
 use crate::link::{feed_update, hello, program_report};
 use crate::model::{control_tables, ids, upstream_spec, vm_record};
-use crate::rules::rule_set;
+use crate::rules::{file_parser, rule_set};
 use crate::sql::class_cache;
 
 /// Parts of the retry budget, each with its own lock, so that sessions rarely meet.
@@ -154,7 +154,7 @@
             );
             (old.rules.clone(), old.revision)
         } else {
-            match rule_set::RuleSet::parse(&control.rules_text) {
+            match file_parser::parse(&control.rules_text) {
                 Ok(rules) => (rules, control.rules_revision),
                 Err(errors) => {
                     // A keeper only hands out rules that it has checked, so this is a version
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -14,6 +14,7 @@
 mod program;
 mod route;
 mod session;
+mod session_start;
 mod settings;
 mod settlement;
 mod startup;
--- a/src/entry/session.rs
+++ b/src/entry/session.rs
@@ -6,7 +6,7 @@
 use bytes::BufMut;
 
 use crate::decide::barrier;
-use crate::entry::{batch, board, cancel_registry, context, local, startup, unit, wire};
+use crate::entry::{batch, board, cancel_registry, context, local, session_start, unit, wire};
 use crate::model::{ids, refusal_reason, sql_state};
 use crate::sql::{parameters, statement_class};
 use crate::{counters, event};
@@ -59,7 +59,7 @@
         context: &sync::Arc<context::EntryContext>,
         reader: wire::FrontReader,
         writer: wire::FrontWriter,
-        start: startup::SessionStart,
+        start: session_start::SessionStart,
         cancel: sync::Arc<tokio::sync::Notify>,
     ) -> Self {
         let limits = &context.settings.limits;
--- a/src/entry/startup.rs
+++ b/src/entry/startup.rs
@@ -8,7 +8,7 @@
 use bytes::{Buf, BufMut};
 use pgwire::api::auth::sasl::scram;
 
-use crate::entry::{cancel_forward, cancel_registry, context, local, session, wire};
+use crate::entry::{cancel_forward, cancel_registry, context, local, session, session_start, wire};
 use crate::model::{refusal_reason, sql_state};
 use crate::rules::scram_verifier;
 use crate::sql::parameters;
@@ -92,20 +92,11 @@
     context.sessions.fetch_sub(1, atomic::Ordering::AcqRel);
 }
 
-/// What a caller said at start-up.
-pub struct SessionStart {
-    pub user: String,
-    pub customer: String,
-    pub database: String,
-    pub board: sync::Arc<crate::entry::board::GroupBoard>,
-    pub parameters: local::SessionParameters,
-}
-
 async fn start(
     context: &sync::Arc<context::EntryContext>,
     reader: &mut wire::FrontReader,
     writer: &mut wire::FrontWriter,
-) -> Result<Option<SessionStart>, StartFailure> {
+) -> Result<Option<session_start::SessionStart>, StartFailure> {
     let mut body = loop {
         let mut body = reader.next_startup().await?;
         let code = take_i32(&mut body)?;
@@ -163,7 +154,7 @@
     let parameters = read_parameters(given)?;
     // Connects to the pools while the caller still receives the answer to its login.
     context.use_group(&board);
-    Ok(Some(SessionStart {
+    Ok(Some(session_start::SessionStart {
         user,
         customer,
         database,
--- a/src/keeper/control_answers.rs
+++ b/src/keeper/control_answers.rs
@@ -7,8 +7,8 @@
 use crate::decide::{failover_event, lease};
 use crate::dial;
 use crate::event;
-use crate::keeper::daemon;
 use crate::keeper::group_supervisor;
+use crate::keeper::settings;
 use crate::link::{client, control, hello, link_error, server, stream_kind};
 use crate::model::{control_tables, ids, vm_record};
 
@@ -34,7 +34,7 @@
     pub async fn serve(&self, mut stream: server::PeerStream) -> Result<(), link_error::LinkError> {
         let request: control::ControlRequest = stream.reader.expect().await?;
         // A keeper's request is not passed on again.
-        let from_keeper = stream.greeting.program == daemon::PROGRAM;
+        let from_keeper = stream.greeting.program == settings::PROGRAM;
         let reply = match request {
             control::ControlRequest::Status => {
                 let mut report = self.local_status();
--- a/src/keeper/daemon.rs
+++ b/src/keeper/daemon.rs
@@ -16,9 +16,6 @@
 use crate::platform::client;
 use crate::shutdown;
 
-/// Name of the program.
-pub(super) const PROGRAM: &str = "persimmon-keeper";
-
 /// Runs a keeper until the shutdown.
 ///
 /// # Errors
@@ -38,7 +35,7 @@
         timeout: time::Duration::from_millis(settings.limits.call_ms),
     };
     let board = sync::Arc::new(control_board::ControlBoard::new(&settings.vm));
-    let hello = hello::Hello::new(&settings.vm, PROGRAM);
+    let hello = hello::Hello::new(&settings.vm, settings::PROGRAM);
     let platform = client::PlatformClient::new(settings.platform, &settings.vm, dialer);
     let gossip = gossip_task::GossipTask::new(
         sync::Arc::clone(&board),
@@ -79,7 +76,10 @@
         time::Duration::from_millis(settings.limits.lease_ms),
         shutdown.clone(),
     ));
-    event::info("started", &[("program", &PROGRAM), ("vm", &settings.vm)]);
+    event::info(
+        "started",
+        &[("program", &settings::PROGRAM), ("vm", &settings.vm)],
+    );
 
     shutdown.wait().await;
     let drain = time::Duration::from_millis(settings.limits.drain_ms);
@@ -95,7 +95,7 @@
         event::warn("lease_not_revoked", &[("cause", &"no answer in time")]);
     }
     tasks.shutdown().await;
-    event::info("stopped", &[("program", &PROGRAM)]);
+    event::info("stopped", &[("program", &settings::PROGRAM)]);
     Ok(())
 }
 
--- a/src/keeper/group_supervisor.rs
+++ b/src/keeper/group_supervisor.rs
@@ -8,7 +8,7 @@
 use crate::event;
 use crate::keeper::group_worker;
 use crate::model::{control_tables, group_spec, ids};
-use crate::rules::rule_set;
+use crate::rules::{file_parser, rule_set};
 
 /// Pause between two looks at the holders of leases and at the liveness of VMs.
 const CHECK_INTERVAL: time::Duration = time::Duration::from_millis(250);
@@ -73,7 +73,7 @@
     fn reconcile(&self, tables: &control_tables::ControlTables) {
         let board = &self.context.board;
         // Rules that cannot be read drain nothing; the store holds only checked ones.
-        let rules = rule_set::RuleSet::parse(&tables.rules_text).unwrap_or_default();
+        let rules = file_parser::parse(&tables.rules_text).unwrap_or_default();
         let mut workers = self.lock();
         let mut ranked = collections::BTreeSet::new();
         for group in &tables.groups {
--- a/src/keeper/settings.rs
+++ b/src/keeper/settings.rs
@@ -8,6 +8,9 @@
 use crate::decide::failover_event;
 use crate::model::ids;
 
+/// Name of the program, in its greeting on links and in its log lines.
+pub const PROGRAM: &str = "persimmon-keeper";
+
 /// Account with which the keeper logs in to upstreams.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/src/pool/upstream_table.rs
+++ b/src/pool/upstream_table.rs
@@ -10,7 +10,7 @@
 use crate::link::program_report;
 use crate::model::{control_tables, ids};
 use crate::pool::{pool_settings, upstream, upstream_edge};
-use crate::rules::rule_set;
+use crate::rules::{file_parser, rule_set};
 use crate::{counters, health};
 
 type UpstreamMap = collections::HashMap<ids::UpstreamId, sync::Arc<upstream::Upstream>>;
@@ -71,7 +71,7 @@
     /// force.
     pub fn apply(&self, tables: &control_tables::ControlTables) {
         if tables.rules_revision >= self.revision.load(atomic::Ordering::Acquire) {
-            match rule_set::RuleSet::parse(&tables.rules_text) {
+            match file_parser::parse(&tables.rules_text) {
                 Ok(rules) => {
                     self.rules.store(sync::Arc::new(rules));
                     self.revision
--- a/src/rules/file_parser.rs
+++ b/src/rules/file_parser.rs
@@ -1,4 +1,4 @@
-//! [`FileParser`]: reads a rules file and checks the rules against each other.
+//! Reads a rules file and checks the rules against each other.
 
 use std::collections;
 
@@ -7,6 +7,15 @@
 use crate::rules::rule_line;
 use crate::rules::rule_set;
 
+/// Parses and checks a rules file.
+///
+/// # Errors
+///
+/// Returns every error in the file, in the order of its lines.
+pub fn parse(text: &str) -> Result<rule_set::RuleSet, Vec<rule_error::RuleError>> {
+    FileParser::default().parse(text)
+}
+
 /// Where something was found.
 #[derive(Clone, Copy)]
 struct FilePlace {
@@ -16,7 +25,7 @@
 
 /// Collects the rules of a file and every error in it.
 #[derive(Default)]
-pub(super) struct FileParser {
+struct FileParser {
     rules: rule_set::RuleSet,
     errors: Vec<rule_error::RuleError>,
     /// First place of each kind with what it is about, to find rules that stand twice.
@@ -27,10 +36,7 @@
 }
 
 impl FileParser {
-    pub(super) fn parse(
-        mut self,
-        text: &str,
-    ) -> Result<rule_set::RuleSet, Vec<rule_error::RuleError>> {
+    fn parse(mut self, text: &str) -> Result<rule_set::RuleSet, Vec<rule_error::RuleError>> {
         for (number, text) in (1..).zip(text.lines()) {
             if let Some(line) = rule_line::RuleLine::split(number, text, &mut self.errors) {
                 self.read_line(&line);
--- a/src/rules/mod.rs
+++ b/src/rules/mod.rs
@@ -3,7 +3,7 @@
 mod customer;
 mod drain;
 mod field_reader;
-mod file_parser;
+pub mod file_parser;
 mod login;
 mod long;
 mod lookup;
--- a/src/rules/rule_set.rs
+++ b/src/rules/rule_set.rs
@@ -3,8 +3,6 @@
 use std::time;
 
 use crate::model::ids;
-use crate::rules::file_parser;
-use crate::rules::rule_error;
 use crate::rules::scram_verifier;
 
 /// Most slots of one upstream that all reserves together may keep. Upstreams have 3 slots, and
@@ -132,15 +130,6 @@
 }
 
 impl RuleSet {
-    /// Parses and checks a rules file.
-    ///
-    /// # Errors
-    ///
-    /// Returns every error in the file, in the order of its lines.
-    pub fn parse(text: &str) -> Result<Self, Vec<rule_error::RuleError>> {
-        file_parser::FileParser::default().parse(text)
-    }
-
     /// Returns the login of a user.
     #[must_use]
     pub fn login(&self, user: &str) -> Option<&LoginRule> {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -3,7 +3,7 @@
 use std::time;
 
 use arbtest::arbitrary;
-use persimmontack::rules::{rule_set, scram_verifier};
+use persimmontack::rules::{file_parser, rule_set, scram_verifier};
 
 const BY: &str = "# asked for by: Parish office";
 
@@ -12,12 +12,12 @@
 }
 
 fn parse(text: &str) -> rule_set::RuleSet {
-    rule_set::RuleSet::parse(text).expect("the rules are valid")
+    file_parser::parse(text).expect("the rules are valid")
 }
 
 /// Returns the errors as `line:column problem`.
 fn errors(text: &str) -> Vec<String> {
-    rule_set::RuleSet::parse(text)
+    file_parser::parse(text)
         .expect_err("the rules are not valid")
         .into_iter()
         .map(|error| format!("{}:{} {}", error.line, error.column, error.problem))
@@ -364,7 +364,7 @@
                 text.push_str(input.choose(&PIECES)?);
             }
         }
-        match rule_set::RuleSet::parse(&text) {
+        match file_parser::parse(&text) {
             Ok(rules) => {
                 let _rule = rules.long_rule(&text);
             }
@@ -460,7 +460,7 @@
     arbtest::arbtest(|input| {
         let rules = any_rules(input)?;
         let text = rules.to_string();
-        assert_eq!(rule_set::RuleSet::parse(&text), Ok(rules), "{text}");
+        assert_eq!(file_parser::parse(&text), Ok(rules), "{text}");
         Ok(())
     });
 }
