Answer persimmonctl status from a node

Cause: an operator could not ask a VM of the platform what it believes. Change: a node answers a status request on the port for other VMs, with its configuration, primaries, upstreams, queues and members.

--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -36,6 +36,7 @@
 pub mod request_report;
 pub mod session;
 pub mod session_state;
+pub mod status;
 pub mod stop;
 pub mod transaction;
 pub mod upstream_entry;
--- a/src/node/relay_caller.rs
+++ b/src/node/relay_caller.rs
@@ -8,7 +8,8 @@
 use crate::link::{server, stream_kind};
 use crate::model::ids;
 use crate::node::{
-    answers, board, edge, isolation, journal, relay_frame, request, session, session_state, stop,
+    answers, board, edge, isolation, journal, relay_frame, request, session, session_state, status,
+    stop,
 };
 
 /// Serves the streams that other VMs open, as long as some may come.
@@ -27,12 +28,14 @@
             stream_kind::StreamKind::Reach => {
                 tokio::task::spawn_local(isolation::answer(rc::Rc::clone(&board), stream));
             }
+            stream_kind::StreamKind::Control => {
+                tokio::task::spawn_local(status::answer(rc::Rc::clone(&board), stream));
+            }
             stream_kind::StreamKind::Work
             | stream_kind::StreamKind::Feed
             | stream_kind::StreamKind::Observe
             | stream_kind::StreamKind::Tables
-            | stream_kind::StreamKind::Gossip
-            | stream_kind::StreamKind::Control => stream.writer.abort(),
+            | stream_kind::StreamKind::Gossip => stream.writer.abort(),
         }
     }
 }
--- /dev/null
+++ b/src/node/status.rs
@@ -0,0 +1,106 @@
+//! The state of a node as `persimmonctl status` shows it.
+
+use std::rc;
+
+use crate::link::{control, program_report, server};
+use crate::model::ids;
+use crate::node::{board, edge, group, journal, peers};
+
+/// Answers what an operator asks over a link.
+pub async fn answer<E: edge::NodeEdge>(
+    board: rc::Rc<board::NodeBoard<E>>,
+    mut stream: server::PeerStream,
+) {
+    let reply = match stream.reader.expect::<control::ControlRequest>().await {
+        Ok(control::ControlRequest::Status) => control::ControlReply::Status(report(&board)),
+        Ok(
+            control::ControlRequest::Explain(_)
+            | control::ControlRequest::Promote { .. }
+            | control::ControlRequest::Cancel { .. },
+        ) => control::ControlReply::Failed("a node answers status only".to_owned()),
+        Err(error) => control::ControlReply::Failed(error.to_string()),
+    };
+    if let Err(error) = stream.writer.send_last(&reply).await {
+        journal::debug("operator_lost", &[("reason", &error)]);
+    }
+}
+
+/// Returns what this node believes and holds.
+#[must_use]
+pub fn report<E: edge::NodeEdge>(board: &board::NodeBoard<E>) -> control::StatusReport {
+    let version = board.config().map_or(0, |config| config.version);
+    let vms = board.members().into_iter().map(|(vm, entry)| {
+        let own = (vm == board.node).then_some(version);
+        control::VmStatus {
+            alive: true,
+            leaving: false,
+            keeper_revision: own.unwrap_or_default(),
+            entry_revision: own,
+            pool_revision: own,
+            data_centre: entry.data_centre,
+            vm,
+        }
+    });
+    control::StatusReport {
+        vm: board.node.clone(),
+        platform_reachable: board.store_up.get(),
+        rules_revision: version,
+        groups: board
+            .groups()
+            .iter()
+            .map(|group| group_status(board, group))
+            .collect(),
+        vms: vms.collect(),
+        programs: vec![(peers::PROGRAM.to_owned(), program(board, version))],
+    }
+}
+
+fn group_status<E: edge::NodeEdge>(
+    board: &board::NodeBoard<E>,
+    group: &group::GroupState,
+) -> control::GroupStatus {
+    let upstreams = board.pools_of(&group.group);
+    control::GroupStatus {
+        group: group.group.clone(),
+        primary: group.primary(),
+        term: group.term(),
+        holder: group.has_reserve().then(|| board.node.clone()),
+        upstreams: upstreams
+            .iter()
+            .map(|pool| {
+                let entry = pool.entry();
+                control::UpstreamStatus {
+                    upstream: entry.upstream,
+                    data_centre: entry.data_centre,
+                    reachable: !pool.is_suspect(),
+                    leaving: entry.leaving,
+                    state: None,
+                    lag_entries: None,
+                }
+            })
+            .collect(),
+    }
+}
+
+fn program<E: edge::NodeEdge>(
+    board: &board::NodeBoard<E>,
+    version: ids::RuleRevision,
+) -> program_report::ProgramReport {
+    let queues = board.pools().into_iter().map(|pool| {
+        let health = pool.health.get();
+        program_report::QueueReport {
+            upstream: pool.upstream().clone(),
+            waiting: u32::try_from(pool.waiting()).unwrap_or(u32::MAX),
+            running: health.running(),
+            connections: pool.connections(),
+            wait: health.usual().unwrap_or_default(),
+        }
+    });
+    program_report::ProgramReport {
+        rules_revision: version,
+        sessions: u64::from(board.sessions.get()),
+        queues: queues.collect(),
+        refusals: Vec::new(),
+        retries: Vec::new(),
+    }
+}
--- a/tests/node_tables.rs
+++ b/tests/node_tables.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use node_support as support;
+use persimmontack::link::{client, control, hello, stream_kind};
 use persimmontack::node::edge::ControlChange;
 
 /// Guards against a configuration that goes back, for example when an older page of the store is
@@ -126,3 +127,31 @@
         assert_eq!(scene.board.pools().len(), 3);
     });
 }
+
+/// Guards against an operator who cannot ask a VM what it believes.
+#[test]
+fn the_state_of_a_node_can_be_read_over_a_link() {
+    support::run(|scene| async move {
+        let socket = scene.edge.network.connect(scene.board.own.address);
+        let hello = hello::Hello::new("", "persimmonctl");
+        let link = client::PeerClient::handshake(socket.expect("a socket"), "vm-1", &hello);
+        let link = link.await.expect("a link");
+        let stream = link.open(stream_kind::StreamKind::Control).await;
+        let (mut writer, mut reader) = stream.expect("a stream");
+        let request = control::ControlRequest::Status;
+        writer.send_last(&request).await.expect("sent");
+        let Ok(control::ControlReply::Status(report)) = reader.expect().await else {
+            panic!("expected a status");
+        };
+        assert_eq!(report.vm, "vm-1");
+        assert!(report.platform_reachable);
+        assert_eq!(report.rules_revision, 1);
+        let [group] = &report.groups[..] else {
+            panic!("expected one group: {report:?}");
+        };
+        assert_eq!(group.primary.as_deref(), Some("a"));
+        assert!(group.upstreams.iter().all(|upstream| upstream.reachable));
+        assert_eq!(report.vms.len(), 1);
+        assert_eq!(report.programs.len(), 1);
+    });
+}
