Judge a cut-off data centre by the age of the last answer

Change: a VM is cut off if no upstream of another data centre has answered for 0.7 s; one that was not heard for 0.3 s is asked. A test wants a VM to stay not ready through a cut.

--- a/src/node/isolation.rs
+++ b/src/node/isolation.rs
@@ -10,7 +10,7 @@
 use tokio::time::Instant;
 
 use crate::link::{server, stream_kind};
-use crate::node::{board, edge, journal, limits};
+use crate::node::{board, edge, journal, limits, pool};
 
 /// Whether this VM is cut off.
 #[derive(Debug, Default)]
@@ -20,12 +20,10 @@
 }
 
 impl IsolationState {
-    /// Tells whether the VM has been cut off for long enough to say so.
+    /// Tells whether the VM is cut off.
     #[must_use]
-    pub fn is_isolated(&self) -> bool {
-        self.since
-            .get()
-            .is_some_and(|since| since.elapsed() >= limits::ISOLATED_AFTER)
+    pub const fn is_isolated(&self) -> bool {
+        self.since.get().is_some()
     }
 
     /// Completes when a session that began at `started` is to be closed between two requests: the
@@ -76,8 +74,8 @@
     }
 }
 
-/// Tells whether an upstream in another data centre answers. Returns nothing if this VM connects
-/// to none.
+/// Tells whether an upstream in another data centre has answered lately. Returns nothing if this VM
+/// connects to none.
 #[must_use]
 pub fn sees_others<E: edge::NodeEdge>(board: &board::NodeBoard<E>) -> Option<bool> {
     let remote: Vec<_> = board
@@ -89,7 +87,12 @@
             })
         })
         .collect();
-    (!remote.is_empty()).then(|| remote.iter().any(|pool| !pool.is_suspect()))
+    let now = board::steady_now();
+    let answers = |pool: &rc::Rc<pool::UpstreamPool<E>>| {
+        let heard = pool.health.get().heard();
+        heard.is_some_and(|heard| now.saturating_sub(heard) < limits::ISOLATED_AFTER)
+    };
+    (!remote.is_empty()).then(|| remote.iter().any(answers))
 }
 
 /// Asks the nearest hosts whether they are connected. A VM that does not know any yet counts as
--- a/src/node/limits.rs
+++ b/src/node/limits.rs
@@ -57,10 +57,10 @@
 /// Fewest connections to an upstream that are worth being a host of its group.
 pub const LEAST_CONNECTIONS: u32 = 3;
 /// Time without a sign of life from another data centre after which one is asked for.
-pub const REACH_INTERVAL: Duration = Duration::from_millis(500);
+pub const REACH_INTERVAL: Duration = Duration::from_millis(300);
 /// Time without an answer from another data centre after which a VM says that it is cut off.
-pub const ISOLATED_AFTER: Duration = Duration::from_millis(300);
-/// Time after which a VM that is cut off closes its sessions between two requests. The balancer
+pub const ISOLATED_AFTER: Duration = Duration::from_millis(700);
+/// Time after which a VM that says so closes its sessions between two requests. The balancer
 /// has taken it out by then, after two probes, one a second.
 pub const ISOLATED_CLOSE: Duration = Duration::from_millis(2_300);
 /// Period at which a VM that hosts no group asks a host whether it is connected.
--- a/tests/node_isolation.rs
+++ b/tests/node_isolation.rs
@@ -41,6 +41,10 @@
             .await;
         let closed = tokio::time::timeout(Duration::from_secs(10), caller.reply()).await;
         assert_eq!(closed, Ok(None));
+        for _tick in 0..200 {
+            scene.pass(Duration::from_millis(25)).await;
+            assert!(!scene.board.is_ready(), "ready in the middle of the cut");
+        }
         // The balancer has nowhere else to go if callers still come.
         let mut late = scene.caller(support::AGED).await;
         scene.pass(limits::ISOLATED_CLOSE * 2).await;
