Split the node's session, and keep the route of a relayed transaction

Change: the start of a session, the answers of a relayed statement and the common errors stand in files of their own kind. A relayed transaction keeps the route under which it began. A failure names the host that was tried last.

--- a/src/node/answers.rs
+++ b/src/node/answers.rs
@@ -4,6 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::model::{ids, log_position};
+use crate::node::limits;
 
 /// Where a session or a connection stands.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -124,6 +125,19 @@
         }
     }
 
+    /// Creates the error for the end of a transaction where none is open.
+    #[must_use]
+    pub fn no_transaction() -> Self {
+        let text = "no transaction is open";
+        Self::error(ErrorCode::Malformed, text, TransactionState::Idle)
+    }
+
+    /// Creates the error for a prepared statement that the session does not have.
+    #[must_use]
+    pub fn no_statement(name: Bytes, state: TransactionState) -> Self {
+        Self::error(ErrorCode::NoStatement, name, state)
+    }
+
     /// Passes an upstream's answer on to a session that stands at `state`.
     #[must_use]
     pub fn pass(answer: UpstreamAnswer, state: TransactionState) -> Self {
@@ -135,3 +149,10 @@
         }
     }
 }
+
+/// Returns the text of a refusal that nothing came of, with the time to come back.
+#[must_use]
+pub fn come_back(reason: &dyn std::fmt::Display) -> String {
+    let pause = limits::COME_BACK.as_millis();
+    format!("{reason}; come back in {pause} ms")
+}
--- a/src/node/attempt.rs
+++ b/src/node/attempt.rs
@@ -162,3 +162,14 @@
         }
     }
 }
+
+/// Turns an upstream's refusal inside a transaction into the one that callers know.
+#[must_use]
+pub fn promise_kept(mut answer: answers::UpstreamAnswer) -> answers::UpstreamAnswer {
+    if let Err(error) = &mut answer.result
+        && not_run(error.code).is_some()
+    {
+        error.code = answers::ErrorCode::Aborted;
+    }
+    answer
+}
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -35,6 +35,7 @@
 pub mod request;
 pub mod request_report;
 pub mod session;
+pub mod session_start;
 pub mod session_state;
 pub mod status;
 pub mod stop;
--- a/src/node/relay.rs
+++ b/src/node/relay.rs
@@ -11,7 +11,8 @@
 use crate::link::{frame_reader, frame_writer, stream_kind};
 use crate::model::ids;
 use crate::node::{
-    answers, board, config, edge, journal, limits, relay_frame, request, session_state,
+    answers, board, config, edge, journal, limits, relay_frame, request, request_report,
+    session_state,
 };
 
 /// A statement that a host is to run.
@@ -33,7 +34,7 @@
 
 /// How a relayed statement ended.
 #[derive(Debug)]
-pub enum RelayEnd {
+enum RelayEnd {
     /// The host's answer.
     Answered(answers::CallerAnswer),
     /// Nothing has run.
@@ -57,6 +58,10 @@
 #[derive(Debug, Default)]
 pub struct RelaySession {
     stream: Option<HostStream>,
+    /// Host that was turned to last.
+    host: Option<ids::VmId>,
+    /// Route of the statement or transaction.
+    route: Option<config::DatabaseRoute>,
     state: answers::TransactionState,
     wrote: bool,
 }
@@ -74,30 +79,71 @@
         self.state != answers::TransactionState::Idle
     }
 
-    /// Tells whether the transaction may have written.
+    /// Returns the route under which the last transaction or statement began.
     #[must_use]
-    pub const fn wrote(&self) -> bool {
-        self.wrote
-    }
-
-    /// Returns the host that runs the statements, or `-`.
-    #[must_use]
-    pub fn host(&self) -> String {
-        self.stream
-            .as_ref()
-            .map_or_else(|| "-".to_owned(), |stream| stream.host.clone())
+    pub const fn route(&self) -> Option<&config::DatabaseRoute> {
+        self.route.as_ref()
     }
 
     /// Leaves the host, which rolls back what is open there.
-    pub fn leave(&mut self) {
+    fn leave(&mut self) {
         self.stream = None;
         self.state = answers::TransactionState::Idle;
         self.wrote = false;
     }
 
+    /// Has a host run a statement, and returns what the caller is told.
+    pub async fn answer<E: edge::NodeEdge>(
+        &mut self,
+        board: &board::NodeBoard<E>,
+        order: &RelayOrder<'_>,
+    ) -> answers::CallerAnswer {
+        let bound = self.in_transaction();
+        let end = self.run(board, order).await;
+        let host = self.host.clone().unwrap_or_else(|| "-".to_owned());
+        let report = request_report::RequestReport {
+            board,
+            request: order.request,
+            database: order.database,
+            kind: "relayed",
+            route: order.route,
+            upstream: &host,
+            started: order.started,
+        };
+        let commits = order.request.kind == request::StatementKind::Commit;
+        let (code, reason) = match end {
+            RelayEnd::Answered(answer) => {
+                report.relayed(&answer);
+                return answer;
+            }
+            RelayEnd::NotRun(reason) if !bound => (answers::ErrorCode::Busy, reason),
+            RelayEnd::Unknown(reason) if commits && self.wrote || order.writes && !bound => {
+                (answers::ErrorCode::Unknown, reason)
+            }
+            RelayEnd::NotRun(reason) | RelayEnd::Unknown(reason) => {
+                (answers::ErrorCode::Aborted, reason)
+            }
+        };
+        let rolls_back = order.request.kind == request::StatementKind::Rollback;
+        if commits || rolls_back {
+            self.leave();
+        }
+        if rolls_back {
+            // The host rolls back what it has lost its caller for.
+            return answers::CallerAnswer::local(self.state);
+        }
+        report.failed(code, &reason);
+        let text = if code == answers::ErrorCode::Unknown {
+            reason
+        } else {
+            answers::come_back(&reason)
+        };
+        answers::CallerAnswer::error(code, text, self.state)
+    }
+
     /// Has a host run a statement. What has not run, and reads outside a transaction, go to
     /// another host if the first one fails.
-    pub async fn run<E: edge::NodeEdge>(
+    async fn run<E: edge::NodeEdge>(
         &mut self,
         board: &board::NodeBoard<E>,
         order: &RelayOrder<'_>,
@@ -105,6 +151,7 @@
         let bound = self.in_transaction();
         if !bound {
             self.wrote = false;
+            self.route = Some(order.route.clone());
         }
         let hold_limit = order.started + order.route.timeout.mul_f64(limits::HOLD_SHARE);
         let limit = order.started + order.route.timeout + limits::RELAY_MARGIN;
@@ -131,12 +178,11 @@
                 self.lose(bound);
                 return RelayEnd::NotRun(reason);
             }
-            let host = self.host();
             journal::warn(
                 "relay_retried",
                 &[
                     ("request", &order.request.id_text()),
-                    ("host", &host),
+                    ("host", &self.host.as_deref().unwrap_or("-")),
                     ("reason", &reason),
                 ],
             );
@@ -187,6 +233,7 @@
             return Err("no host can be reached".to_owned());
         };
         tried.push(host.clone());
+        self.host = Some(host.clone());
         let client = board.peers.connect(board, &host).await?;
         let (mut writer, reader) = client
             .open(stream_kind::StreamKind::Session)
--- a/src/node/relay_caller.rs
+++ b/src/node/relay_caller.rs
@@ -8,8 +8,8 @@
 use crate::link::{server, stream_kind};
 use crate::model::ids;
 use crate::node::{
-    answers, board, edge, isolation, journal, relay_frame, request, session, session_state, status,
-    stop,
+    answers, board, edge, isolation, journal, relay_frame, request, session_start, session_state,
+    status, stop,
 };
 
 /// Serves the streams that other VMs open, as long as some may come.
@@ -22,7 +22,8 @@
         match stream.kind {
             stream_kind::StreamKind::Session => {
                 let caller = RelayCaller::new(stream);
-                let serve = session::serve(rc::Rc::clone(&board), caller, rc::Rc::clone(&stop));
+                let serve =
+                    session_start::serve(rc::Rc::clone(&board), caller, rc::Rc::clone(&stop));
                 tokio::task::spawn_local(serve);
             }
             stream_kind::StreamKind::Reach => {
--- a/src/node/session.rs
+++ b/src/node/session.rs
@@ -1,4 +1,4 @@
-//! The session of one caller.
+//! [`CallerSession`]: the session of one caller.
 
 use std::rc;
 
@@ -6,89 +6,13 @@
 
 use crate::model::{ids, log_position};
 use crate::node::{
-    answers, attempt, board, config, edge, group, journal, limits, reads, relay, request,
-    request_report, session_state, stop, transaction, writes,
+    answers, attempt, board, config, edge, group, journal, reads, relay, request, request_report,
+    session_start, session_state, stop, transaction, writes,
 };
 
-/// Serves one caller until it leaves or the node stops.
-pub async fn serve<E: edge::NodeEdge, C: edge::CallerLink>(
-    board: rc::Rc<board::NodeBoard<E>>,
-    mut link: C,
-    stop: rc::Rc<stop::StopState>,
-) {
-    let database = match link.accept().await {
-        Ok(database) => database,
-        Err(error) => return reject(&mut link, error).await,
-    };
-    let Some(config) = first_config(&board).await else {
-        journal::warn(
-            "caller_refused",
-            &[("database", &database), ("reason", &"no_config")],
-        );
-        let text = come_back(&"no configuration yet");
-        let error = answers::StatementError::new(answers::ErrorCode::Busy, text);
-        return link.reject(&error).await;
-    };
-    if !config.routes.contains_key(&database) {
-        journal::warn(
-            "caller_refused",
-            &[("database", &database), ("reason", &"no_database")],
-        );
-        let error = answers::StatementError::new(answers::ErrorCode::NoDatabase, database);
-        return link.reject(&error).await;
-    }
-    if link.welcome().await.is_err() {
-        return;
-    }
-    let count = stop::SessionCount::new(rc::Rc::clone(&board));
-    let mut session = CallerSession {
-        board,
-        database,
-        state: rc::Rc::default(),
-        transaction: None,
-        relay: relay::RelaySession::default(),
-        relayed: C::RELAYED,
-    };
-    session.run(&mut link, &stop).await;
-    link.close().await;
-    if let Some(mut transaction) = session.transaction.take() {
-        transaction.roll_back().await;
-    }
-    drop(count);
-}
-
-/// Waits for the first configuration, since a caller may come before it.
-async fn first_config<E: edge::NodeEdge>(
-    board: &board::NodeBoard<E>,
-) -> Option<rc::Rc<config::NodeConfig>> {
-    let limit = Instant::now() + limits::FIRST_CONFIG;
-    while Instant::now() < limit {
-        if let Some(config) = board.config() {
-            return Some(config);
-        }
-        tokio::time::sleep(limits::ROUTE_PAUSE).await;
-    }
-    None
-}
-
-async fn reject<C: edge::CallerLink>(link: &mut C, error: edge::CallerError) {
-    match error {
-        edge::CallerError::Closed => {}
-        edge::CallerError::Invalid(error) => {
-            journal::warn(
-                "caller_refused",
-                &[
-                    ("reason", &error.code),
-                    ("text", &String::from_utf8_lossy(&error.text)),
-                ],
-            );
-            link.reject(&error).await;
-        }
-    }
-}
-
+/// The session of one caller.
 #[derive(Debug)]
-struct CallerSession<E: edge::NodeEdge> {
+pub struct CallerSession<E: edge::NodeEdge> {
     board: rc::Rc<board::NodeBoard<E>>,
     database: String,
     state: rc::Rc<session_state::SessionState>,
@@ -99,7 +23,34 @@
 }
 
 impl<E: edge::NodeEdge> CallerSession<E> {
-    async fn run<C: edge::CallerLink>(&mut self, link: &mut C, stop: &stop::StopState) {
+    /// Creates a session on a database. One that another VM relays is not relayed any further.
+    #[must_use]
+    pub fn new(
+        board: rc::Rc<board::NodeBoard<E>>,
+        database: ids::DatabaseName,
+        relayed: bool,
+    ) -> Self {
+        Self {
+            board,
+            database,
+            state: rc::Rc::default(),
+            transaction: None,
+            relay: relay::RelaySession::default(),
+            relayed,
+        }
+    }
+
+    /// Serves requests until the caller leaves or the session is closed, and rolls back what is
+    /// open then.
+    pub async fn run<C: edge::CallerLink>(&mut self, link: &mut C, stop: &stop::StopState) {
+        self.serve(link, stop).await;
+        link.close().await;
+        if let Some(mut transaction) = self.transaction.take() {
+            transaction.roll_back().await;
+        }
+    }
+
+    async fn serve<C: edge::CallerLink>(&mut self, link: &mut C, stop: &stop::StopState) {
         let started = Instant::now();
         let board = rc::Rc::clone(&self.board);
         loop {
@@ -121,7 +72,7 @@
             };
             let request = match request {
                 Ok(request) => request,
-                Err(error) => return reject(link, error).await,
+                Err(error) => return session_start::reject(link, error).await,
             };
             if let Some(state) = link.take_state() {
                 self.state = rc::Rc::new(state);
@@ -183,8 +134,8 @@
             let text = "the transaction has failed; end it first";
             return answers::CallerAnswer::error(answers::ErrorCode::Malformed, text, state);
         }
-        if let Some(plan) = self.relay_plan(request) {
-            return self.relay(request, &plan).await;
+        if let Some(route) = self.relay_route(request) {
+            return self.relay(request, &route).await;
         }
         match &request.kind {
             request::StatementKind::Begin { read_only } => self.begin(request, *read_only),
@@ -202,21 +153,30 @@
                 if rc::Rc::make_mut(&mut self.state).forget(name) {
                     answers::CallerAnswer::local(state)
                 } else {
-                    no_statement(name, state)
+                    answers::CallerAnswer::no_statement(name.clone(), state)
                 }
             }
-            request::StatementKind::Read => self.statement(request, false).await,
-            request::StatementKind::Write => self.statement(request, true).await,
-            request::StatementKind::Execute { name, .. } => {
-                let Some(shape) = self.state.prepared(name) else {
-                    return no_statement(name, state);
-                };
-                let writes = shape.access == request::AccessKind::Write;
-                self.statement(request, writes).await
+            request::StatementKind::Execute { name, .. } if self.state.prepared(name).is_none() => {
+                answers::CallerAnswer::no_statement(name.clone(), state)
+            }
+            request::StatementKind::Read
+            | request::StatementKind::Write
+            | request::StatementKind::Execute { .. } => {
+                self.statement(request, self.may_write(request)).await
             }
         }
     }
 
+    fn may_write(&self, request: &request::CallerRequest) -> bool {
+        match &request.kind {
+            request::StatementKind::Execute { name, .. } => self
+                .state
+                .prepared(name)
+                .is_some_and(|shape| shape.access == request::AccessKind::Write),
+            kind => *kind == request::StatementKind::Write,
+        }
+    }
+
     fn plan(&self) -> Option<reads::ReadPlan> {
         let config = self.board.config()?;
         let route = config.routes.get(&self.database)?.clone();
@@ -230,8 +190,8 @@
         })
     }
 
-    /// Returns the plan of a statement that another VM has to run.
-    fn relay_plan(&self, request: &request::CallerRequest) -> Option<reads::ReadPlan> {
+    /// Returns the route of a statement that another VM has to run.
+    fn relay_route(&self, request: &request::CallerRequest) -> Option<config::DatabaseRoute> {
         let local = match &request.kind {
             request::StatementKind::Set { .. }
             | request::StatementKind::Prepare { .. }
@@ -247,89 +207,32 @@
         if local || self.relayed || self.transaction.is_some() {
             return None;
         }
-        let plan = self.plan()?;
-        let elsewhere = self.relay.in_transaction() || !self.board.is_host(&plan.route.group);
-        elsewhere.then_some(plan)
+        if self.relay.in_transaction() {
+            return self.relay.route().cloned();
+        }
+        let config = self.board.config()?;
+        let route = config.routes.get(&self.database)?;
+        (!self.board.is_host(&route.group)).then(|| route.clone())
     }
 
     async fn relay(
         &mut self,
         request: &request::CallerRequest,
-        plan: &reads::ReadPlan,
+        route: &config::DatabaseRoute,
     ) -> answers::CallerAnswer {
-        let started = Instant::now();
-        let bound = self.relay.in_transaction();
-        let writes = match &request.kind {
-            request::StatementKind::Write => true,
-            request::StatementKind::Execute { name, .. } => self
-                .state
-                .prepared(name)
-                .is_some_and(|shape| shape.access == request::AccessKind::Write),
-            _ => false,
-        };
         let order = relay::RelayOrder {
             request,
-            writes,
+            writes: self.may_write(request),
             database: &self.database,
-            route: &plan.route,
+            route,
             state: &self.state,
-            started,
-        };
-        let end = self.relay.run(&self.board, &order).await;
-        let host = self.relay.host();
-        let report = request_report::RequestReport {
-            board: &self.board,
-            request,
-            database: &self.database,
-            kind: "relayed",
-            route: &plan.route,
-            upstream: &host,
-            started,
+            started: Instant::now(),
         };
-        let state = self.relay.state();
-        let (code, reason) = match end {
-            relay::RelayEnd::Answered(answer) => {
-                report.relayed(&answer);
-                if let Some((group, position)) = &answer.written {
-                    rc::Rc::make_mut(&mut self.state).record_commit(group, *position);
-                }
-                return answer;
-            }
-            relay::RelayEnd::NotRun(reason) if bound => (answers::ErrorCode::Aborted, reason),
-            relay::RelayEnd::NotRun(reason) => (answers::ErrorCode::Busy, reason),
-            relay::RelayEnd::Unknown(reason) => {
-                let commit = request.kind == request::StatementKind::Commit;
-                let code = if (commit && self.relay.wrote()) || (writes && !bound) {
-                    answers::ErrorCode::Unknown
-                } else {
-                    answers::ErrorCode::Aborted
-                };
-                (code, reason)
-            }
-        };
-        let ending = matches!(
-            request.kind,
-            request::StatementKind::Commit | request::StatementKind::Rollback
-        );
-        if ending {
-            self.relay.leave();
+        let answer = self.relay.answer(&self.board, &order).await;
+        if let Some((group, position)) = &answer.written {
+            rc::Rc::make_mut(&mut self.state).record_commit(group, *position);
         }
-        if request.kind == request::StatementKind::Rollback {
-            // The host rolls back what it has lost its caller for.
-            return answers::CallerAnswer::local(answers::TransactionState::Idle);
-        }
-        report.failed(code, &reason);
-        let state = if ending {
-            answers::TransactionState::Idle
-        } else {
-            state
-        };
-        let text = if code == answers::ErrorCode::Unknown {
-            reason
-        } else {
-            come_back(&reason)
-        };
-        answers::CallerAnswer::error(code, text, state)
+        answer
     }
 
     fn begin(
@@ -355,7 +258,7 @@
                 transaction.roll_back().await;
                 answers::CallerAnswer::local(answers::TransactionState::Idle)
             }
-            None => no_transaction(),
+            None => answers::CallerAnswer::no_transaction(),
         }
     }
 
@@ -363,7 +266,7 @@
         let started = Instant::now();
         let idle = answers::TransactionState::Idle;
         let Some(mut transaction) = self.transaction.take() else {
-            return no_transaction();
+            return answers::CallerAnswer::no_transaction();
         };
         if transaction.is_failed() {
             transaction.roll_back().await;
@@ -393,13 +296,17 @@
                     rc::Rc::make_mut(&mut self.state).record_commit(group, position);
                 }
                 report.answered(&answer);
-                let mut answer = answers::CallerAnswer::pass(promise_kept(answer), idle);
+                let mut answer = answers::CallerAnswer::pass(attempt::promise_kept(answer), idle);
                 answer.written = self.written(transaction.group());
                 answer
             }
             transaction::TransactionEnd::Aborted(reason) => {
                 report.failed(answers::ErrorCode::Aborted, &reason);
-                answers::CallerAnswer::error(answers::ErrorCode::Aborted, come_back(&reason), idle)
+                answers::CallerAnswer::error(
+                    answers::ErrorCode::Aborted,
+                    answers::come_back(&reason),
+                    idle,
+                )
             }
             transaction::TransactionEnd::Unknown(reason) => {
                 report.failed(answers::ErrorCode::Unknown, &reason);
@@ -441,7 +348,7 @@
     ) -> answers::CallerAnswer {
         let started = Instant::now();
         let Some(transaction) = &mut self.transaction else {
-            return no_transaction();
+            return answers::CallerAnswer::no_transaction();
         };
         let end = transaction
             .run(&self.board, request, writes, &self.state, started)
@@ -468,12 +375,16 @@
         match end {
             transaction::TransactionEnd::Answered(answer) => {
                 report.answered(&answer);
-                answers::CallerAnswer::pass(promise_kept(answer), state)
+                answers::CallerAnswer::pass(attempt::promise_kept(answer), state)
             }
             transaction::TransactionEnd::Aborted(reason)
             | transaction::TransactionEnd::Unknown(reason) => {
                 report.failed(answers::ErrorCode::Aborted, &reason);
-                answers::CallerAnswer::error(answers::ErrorCode::Aborted, come_back(&reason), state)
+                answers::CallerAnswer::error(
+                    answers::ErrorCode::Aborted,
+                    answers::come_back(&reason),
+                    state,
+                )
             }
         }
     }
@@ -510,7 +421,11 @@
             }
             reads::ReadEnd::NotRun(reason) => {
                 report.failed(answers::ErrorCode::Busy, &reason);
-                answers::CallerAnswer::error(answers::ErrorCode::Busy, come_back(&reason), idle)
+                answers::CallerAnswer::error(
+                    answers::ErrorCode::Busy,
+                    answers::come_back(&reason),
+                    idle,
+                )
             }
             reads::ReadEnd::Late(upstream) => {
                 report.upstream = &upstream;
@@ -520,7 +435,11 @@
             }
             reads::ReadEnd::Broken(reason) => {
                 report.failed(answers::ErrorCode::Aborted, &reason);
-                answers::CallerAnswer::error(answers::ErrorCode::Aborted, come_back(&reason), idle)
+                answers::CallerAnswer::error(
+                    answers::ErrorCode::Aborted,
+                    answers::come_back(&reason),
+                    idle,
+                )
             }
         }
     }
@@ -563,7 +482,11 @@
             }
             writes::WriteEnd::NotRun(reason) => {
                 report.failed(answers::ErrorCode::Busy, &reason);
-                answers::CallerAnswer::error(answers::ErrorCode::Busy, come_back(&reason), idle)
+                answers::CallerAnswer::error(
+                    answers::ErrorCode::Busy,
+                    answers::come_back(&reason),
+                    idle,
+                )
             }
             writes::WriteEnd::Unknown(upstream, reason) => {
                 report.upstream = &upstream;
@@ -586,33 +509,3 @@
         answers::CallerAnswer::error(code, self.database.clone(), self.transaction_state())
     }
 }
-
-/// Turns an upstream's refusal inside a transaction into the one that callers know.
-fn promise_kept(mut answer: answers::UpstreamAnswer) -> answers::UpstreamAnswer {
-    if let Err(error) = &mut answer.result
-        && attempt::not_run(error.code).is_some()
-    {
-        error.code = answers::ErrorCode::Aborted;
-    }
-    answer
-}
-
-fn no_transaction() -> answers::CallerAnswer {
-    let text = "no transaction is open";
-    answers::CallerAnswer::error(
-        answers::ErrorCode::Malformed,
-        text,
-        answers::TransactionState::Idle,
-    )
-}
-
-fn no_statement(name: &bytes::Bytes, state: answers::TransactionState) -> answers::CallerAnswer {
-    answers::CallerAnswer::error(answers::ErrorCode::NoStatement, name.clone(), state)
-}
-
-fn come_back(reason: &dyn std::fmt::Display) -> String {
-    format!(
-        "{reason}; come back in {} ms",
-        limits::COME_BACK.as_millis()
-    )
-}
--- /dev/null
+++ b/src/node/session_start.rs
@@ -0,0 +1,74 @@
+//! The start of a caller's session: the wanted database, and whether it can be served.
+
+use std::rc;
+
+use tokio::time::Instant;
+
+use crate::node::{answers, board, config, edge, journal, limits, session, stop};
+
+/// Serves one caller until it leaves or the node stops.
+pub async fn serve<E: edge::NodeEdge, C: edge::CallerLink>(
+    board: rc::Rc<board::NodeBoard<E>>,
+    mut link: C,
+    stop: rc::Rc<stop::StopState>,
+) {
+    let database = match link.accept().await {
+        Ok(database) => database,
+        Err(error) => return reject(&mut link, error).await,
+    };
+    let Some(config) = first_config(&board).await else {
+        journal::warn(
+            "caller_refused",
+            &[("database", &database), ("reason", &"no_config")],
+        );
+        let text = answers::come_back(&"no configuration yet");
+        let error = answers::StatementError::new(answers::ErrorCode::Busy, text);
+        return link.reject(&error).await;
+    };
+    if !config.routes.contains_key(&database) {
+        journal::warn(
+            "caller_refused",
+            &[("database", &database), ("reason", &"no_database")],
+        );
+        let error = answers::StatementError::new(answers::ErrorCode::NoDatabase, database);
+        return link.reject(&error).await;
+    }
+    if link.welcome().await.is_err() {
+        return;
+    }
+    let count = stop::SessionCount::new(rc::Rc::clone(&board));
+    let mut session = session::CallerSession::new(board, database, C::RELAYED);
+    session.run(&mut link, &stop).await;
+    drop(count);
+}
+
+/// Waits for the first configuration, since a caller may come before it.
+async fn first_config<E: edge::NodeEdge>(
+    board: &board::NodeBoard<E>,
+) -> Option<rc::Rc<config::NodeConfig>> {
+    let limit = Instant::now() + limits::FIRST_CONFIG;
+    while Instant::now() < limit {
+        if let Some(config) = board.config() {
+            return Some(config);
+        }
+        tokio::time::sleep(limits::ROUTE_PAUSE).await;
+    }
+    None
+}
+
+/// Tells a caller that breaks the protocol why its connection ends.
+pub(super) async fn reject<C: edge::CallerLink>(link: &mut C, error: edge::CallerError) {
+    match error {
+        edge::CallerError::Closed => {}
+        edge::CallerError::Invalid(error) => {
+            journal::warn(
+                "caller_refused",
+                &[
+                    ("reason", &error.code),
+                    ("text", &String::from_utf8_lossy(&error.text)),
+                ],
+            );
+            link.reject(&error).await;
+        }
+    }
+}
--- a/tests/node_statements.rs
+++ b/tests/node_statements.rs
@@ -301,7 +301,7 @@
         let board = persimmontack::node::board::NodeBoard::new(edge, "vm-1".to_owned(), own);
         let (mut caller, link) = standins::cluster::test_caller::connect(support::LATEST);
         let stop = std::rc::Rc::default();
-        let serve = persimmontack::node::session::serve(board, link, stop);
+        let serve = persimmontack::node::session_start::serve(board, link, stop);
         tokio::task::spawn_local(serve);
         let Some(CallerReply::Rejected(error)) = caller.reply().await else {
             panic!("expected a refusal");
--- a/tests/node_support/mod.rs
+++ b/tests/node_support/mod.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use persimmontack::node::{
-    answers, board, config, control, isolation, member, relay_caller, request, session, stop,
+    answers, board, config, control, isolation, member, relay_caller, request, session_start, stop,
 };
 use standins::cluster::{cluster_edge, cluster_state, test_caller};
 
@@ -118,7 +118,7 @@
     /// Opens a session.
     pub async fn caller(&self, database: &str) -> test_caller::TestCaller {
         let (mut caller, link) = test_caller::connect(database);
-        let serve = session::serve(Rc::clone(&self.board), link, Rc::clone(&self.stop));
+        let serve = session_start::serve(Rc::clone(&self.board), link, Rc::clone(&self.stop));
         tokio::task::spawn_local(serve);
         assert_eq!(
             caller.reply().await,
