Remove copies from the tests, and shorten the session's file

Change: node_support::cluster, one connect_to, and two questions about a statement's kind stand with it. Measured: clippy, entry.rs, node_relay.rs and node_isolation.rs pass.

--- a/src/node/relay.rs
+++ b/src/node/relay.rs
@@ -125,7 +125,7 @@
             }
         };
         let rolls_back = order.request.kind == request::StatementKind::Rollback;
-        if commits || rolls_back {
+        if order.request.kind.ends_transaction() {
             self.leave();
         }
         if rolls_back {
--- a/src/node/request.rs
+++ b/src/node/request.rs
@@ -65,6 +65,23 @@
     },
 }
 
+impl StatementKind {
+    /// Tells whether it only sets the session up, which needs no upstream.
+    #[must_use]
+    pub const fn sets_up(&self) -> bool {
+        matches!(
+            self,
+            Self::Set { .. } | Self::Prepare { .. } | Self::Forget { .. }
+        )
+    }
+
+    /// Tells whether it ends a transaction.
+    #[must_use]
+    pub const fn ends_transaction(&self) -> bool {
+        matches!(self, Self::Commit | Self::Rollback)
+    }
+}
+
 /// One statement of a caller.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CallerRequest {
--- a/src/node/session.rs
+++ b/src/node/session.rs
@@ -126,11 +126,7 @@
 
     async fn handle(&mut self, request: &request::CallerRequest) -> answers::CallerAnswer {
         let state = self.transaction_state();
-        let ending = matches!(
-            request.kind,
-            request::StatementKind::Commit | request::StatementKind::Rollback
-        );
-        if state == answers::TransactionState::Failed && !ending {
+        if state == answers::TransactionState::Failed && !request.kind.ends_transaction() {
             let text = "the transaction has failed; end it first";
             return answers::CallerAnswer::error(answers::ErrorCode::Malformed, text, state);
         }
@@ -192,18 +188,10 @@
 
     /// Returns the route of a statement that another VM has to run.
     fn relay_route(&self, request: &request::CallerRequest) -> Option<config::DatabaseRoute> {
-        let local = match &request.kind {
-            request::StatementKind::Set { .. }
-            | request::StatementKind::Prepare { .. }
-            | request::StatementKind::Forget { .. } => true,
-            request::StatementKind::Execute { name, .. } => self.state.prepared(name).is_none(),
-            request::StatementKind::Commit | request::StatementKind::Rollback => {
-                !self.relay.in_transaction()
-            }
-            request::StatementKind::Begin { .. }
-            | request::StatementKind::Read
-            | request::StatementKind::Write => false,
-        };
+        let unknown = matches!(&request.kind, request::StatementKind::Execute { name, .. }
+            if self.state.prepared(name).is_none());
+        let unopened = request.kind.ends_transaction() && !self.relay.in_transaction();
+        let local = request.kind.sets_up() || unknown || unopened;
         if local || self.relayed || self.transaction.is_some() {
             return None;
         }
--- a/tests/entry_support/mod.rs
+++ b/tests/entry_support/mod.rs
@@ -216,23 +216,7 @@
     database: &str,
     options: &str,
 ) -> Result<tokio_postgres::Client, tokio_postgres::Error> {
-    let mut config = tokio_postgres::Config::new();
-    config
-        .host(address.ip().to_string())
-        .port(address.port())
-        .user(user)
-        .password(PASSWORD)
-        .dbname(database);
-    if !options.is_empty() {
-        config.options(options);
-    }
-    let (client, connection) = config.connect(tokio_postgres::NoTls).await?;
-    tokio::spawn(async move {
-        if let Err(error) = connection.await {
-            eprintln!("connection ended: {error}");
-        }
-    });
-    Ok(client)
+    testenv::test_env::connect_to(address, user, PASSWORD, database, options).await
 }
 
 /// Makes the first instance the primary of term 1, as a keeper would.
--- a/tests/node_isolation.rs
+++ b/tests/node_isolation.rs
@@ -5,14 +5,13 @@
 use std::time::Duration;
 
 use node_support as support;
-use persimmontack::node::{config, limits};
-use standins::cluster::{cluster_edge, cluster_state};
+use persimmontack::node::limits;
+use standins::cluster::cluster_state;
 
 /// Starts a VM in the data centre of `a`, the primary.
 fn run<F: Future<Output = ()>>(test: impl FnOnce(support::Scene) -> F) {
     support::block_on(async {
-        let state = cluster_state::ClusterState::new(support::node_config(1));
-        let scene = support::start(&cluster_edge::ClusterEdge::new(state), 1, "dc-a");
+        let scene = support::start(&support::cluster(22), 1, "dc-a");
         scene
             .until("the VM is ready", |scene| {
                 scene.primary() == "a" && scene.board.is_ready()
@@ -106,12 +105,7 @@
 #[test]
 fn a_vm_without_connections_goes_by_its_hosts() {
     support::block_on(async {
-        let mut config = support::node_config(1);
-        let limits = config::GroupLimits { max_connections: 0 };
-        config
-            .groups
-            .insert(cluster_state::GROUP.to_owned(), limits);
-        let edge = cluster_edge::ClusterEdge::new(cluster_state::ClusterState::new(config));
+        let edge = support::cluster(0);
         let mut scenes = vec![
             support::start(&edge, 1, "dc-a"),
             support::start(&edge, 2, "dc-a"),
--- a/tests/node_relay.rs
+++ b/tests/node_relay.rs
@@ -9,21 +9,14 @@
 use node_support as support;
 use persimmontack::node::answers::{CallerAnswer, ErrorCode, TransactionState};
 use persimmontack::node::relay_frame::{RelayFrame, RelayReply};
-use persimmontack::node::{config, hosts, limits, request};
+use persimmontack::node::{hosts, limits, request};
+use standins::cluster::cluster_state;
 use standins::cluster::test_caller::CallerReply;
-use standins::cluster::{cluster_edge, cluster_state};
 
 /// Starts VMs in one data centre, of which `hosts` may connect to the group, and sorts them: hosts
 /// first.
 async fn start(vms: u16, hosts: u32) -> Vec<support::Scene> {
-    let mut config = support::node_config(1);
-    let limits = config::GroupLimits {
-        max_connections: limits::RESERVED_CONNECTIONS + hosts * limits::LEAST_CONNECTIONS,
-    };
-    config
-        .groups
-        .insert(cluster_state::GROUP.to_owned(), limits);
-    let edge = cluster_edge::ClusterEdge::new(cluster_state::ClusterState::new(config));
+    let edge = support::cluster(limits::RESERVED_CONNECTIONS + hosts * limits::LEAST_CONNECTIONS);
     let mut scenes: Vec<_> = (1..=vms)
         .map(|number| support::start(&edge, number, "dc-a"))
         .collect();
@@ -163,12 +156,7 @@
 #[test]
 fn a_write_that_crosses_the_end_of_the_session_is_run_in_another() {
     support::block_on(async {
-        let mut config = support::node_config(1);
-        let limits = config::GroupLimits { max_connections: 0 };
-        config
-            .groups
-            .insert(cluster_state::GROUP.to_owned(), limits);
-        let edge = cluster_edge::ClusterEdge::new(cluster_state::ClusterState::new(config));
+        let edge = support::cluster(0);
         let members = BTreeMap::from([("vm-1".to_owned(), support::member(1, "dc-a"))]);
         let own = support::member(2, "dc-a");
         let host = (0..)
--- a/tests/node_support/mod.rs
+++ b/tests/node_support/mod.rs
@@ -82,6 +82,16 @@
     });
 }
 
+/// Returns a group whose upstreams allow this many connections.
+pub fn cluster(max_connections: u32) -> cluster_edge::ClusterEdge {
+    let mut config = node_config(1);
+    let limits = config::GroupLimits { max_connections };
+    config
+        .groups
+        .insert(cluster_state::GROUP.to_owned(), limits);
+    cluster_edge::ClusterEdge::new(cluster_state::ClusterState::new(config))
+}
+
 /// Returns what VM `number` tells the others.
 pub fn member(number: u16, data_centre: &str) -> member::MemberEntry {
     member::MemberEntry {
