Have one session at a time try a VM that could not be reached

Change: while a VM that failed the last time is tried again, other sessions turn to the next host at once; the try takes 250 ms at most, once a second. A VM without connections asks four hosts, as two may be gone at a time. Conclusion: no test makes a host hang in the middle of a connect.

--- a/src/node/limits.rs
+++ b/src/node/limits.rs
@@ -66,11 +66,11 @@
 /// Period at which a VM that hosts no group asks a host whether it is connected.
 pub const ASK_INTERVAL: Duration = Duration::from_millis(500);
 /// Hosts that it asks at most.
-pub const ASKED_HOSTS: usize = 2;
+pub const ASKED_HOSTS: usize = 4;
 /// Time within which a link to another VM has to be open.
-pub const PEER_TIMEOUT: Duration = Duration::from_millis(400);
+pub const PEER_TIMEOUT: Duration = Duration::from_millis(250);
 /// Pause before a VM that could not be reached is tried again.
-pub const PEER_PAUSE: Duration = Duration::from_millis(500);
+pub const PEER_PAUSE: Duration = Duration::from_millis(1_000);
 /// Time beyond a statement's timeout that its host gets to say how it ended.
 pub const RELAY_MARGIN: Duration = Duration::from_millis(60);
 /// Period of the monitor of a group.
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -17,15 +17,15 @@
 
 #[derive(Debug, Default)]
 struct PeerState {
-    client: Option<(net::SocketAddr, client::PeerClient)>,
-    /// Until when the VM is not tried again after it could not be reached.
-    not_before: Option<Instant>,
+    client: sync::Mutex<Option<(net::SocketAddr, client::PeerClient)>>,
+    /// Until when the VM is not tried again, if it could not be reached the last time.
+    not_before: cell::Cell<Option<Instant>>,
 }
 
 /// The links of this VM to others, opened when they are first needed.
 #[derive(Debug, Default)]
 pub struct PeerTable {
-    peers: cell::RefCell<collections::BTreeMap<ids::VmId, rc::Rc<sync::Mutex<PeerState>>>>,
+    peers: cell::RefCell<collections::BTreeMap<ids::VmId, rc::Rc<PeerState>>>,
 }
 
 impl PeerTable {
@@ -43,8 +43,13 @@
             return Err(format!("{vm} is not a member"));
         };
         let state = rc::Rc::clone(self.peers.borrow_mut().entry(vm.to_owned()).or_default());
-        let mut state = state.lock().await;
-        if let Some((known, client)) = &state.client
+        let mut known = match (state.client.try_lock(), state.not_before.get()) {
+            (Ok(known), _) => known,
+            // One session finds out whether the VM is back; the others do not wait for that.
+            (Err(_held), Some(_failed)) => return Err(format!("{vm} is being tried again")),
+            (Err(_held), None) => state.client.lock().await,
+        };
+        if let Some((known, client)) = &*known
             && *known == address
             && client.is_open()
         {
@@ -52,6 +57,7 @@
         }
         if state
             .not_before
+            .get()
             .is_some_and(|moment| Instant::now() < moment)
         {
             return Err(format!("{vm} could not be reached a moment ago"));
@@ -73,8 +79,8 @@
         match result {
             Ok(client) => {
                 journal::info("peer_connected", &[("vm", &vm), ("address", &address)]);
-                state.client = Some((address, client.clone()));
-                state.not_before = None;
+                *known = Some((address, client.clone()));
+                state.not_before.set(None);
                 Ok(client)
             }
             Err(error) => {
@@ -82,8 +88,9 @@
                     "peer_connect_failed",
                     &[("vm", &vm), ("address", &address), ("reason", &error)],
                 );
-                state.client = None;
-                state.not_before = Some(Instant::now() + limits::PEER_PAUSE);
+                *known = None;
+                let moment = Instant::now() + limits::PEER_PAUSE;
+                state.not_before.set(Some(moment));
                 Err(error)
             }
         }
@@ -95,8 +102,8 @@
         let Some(state) = state else {
             return;
         };
-        let mut state = state.lock().await;
-        state.client = None;
-        state.not_before = Some(Instant::now() + limits::PEER_PAUSE);
+        let moment = Instant::now() + limits::PEER_PAUSE;
+        state.not_before.set(Some(moment));
+        *state.client.lock().await = None;
     }
 }
