Use one piece where the node had several

Cause: reading the whole change again. A failed statement was reported and answered by the same pair of calls in eight places; the order "not remote first, then by rendezvous" was written for owners and again, twice, for hosts; a relayed session kept the name of its host in two fields; the count of waiting statements was converted by each of its four readers; the name of the keeper stood in two places; the entry spelled out which retry reasons mean a broken connection, beside a method of the reason that tells the like. Change: request_report::refuse, ownership::rank_candidates, one field, one conversion, settings::PROGRAM and RetryReason::broke_off. A bound that could not be reached is gone from member_count. No behaviour changes.

--- a/src/bin/persimmon-keeper.rs
+++ b/src/bin/persimmon-keeper.rs
@@ -7,7 +7,7 @@
 
 fn main() -> process::ExitCode {
     let program = daemon::DaemonProgram {
-        name: "persimmon-keeper",
+        name: settings::PROGRAM,
         summary: "watches the platform, orders promotions and distributes rules.",
         sample: "samples/keeper.toml",
     };
--- a/src/decide/ownership.rs
+++ b/src/decide/ownership.rs
@@ -1,5 +1,7 @@
 //! Decides which VM's pool owns an upstream.
 
+use std::cmp;
+
 use xxhash_rust::xxh3;
 
 use crate::model::{upstream_spec, vm_record};
@@ -14,21 +16,23 @@
     upstream: &upstream_spec::UpstreamSpec,
     vms: &'a [vm_record::VmRecord],
 ) -> Vec<&'a vm_record::VmRecord> {
-    let mut ranked: Vec<_> = vms
-        .iter()
-        .filter(|vm| !vm.leaving)
-        .map(|vm| {
-            let remote = vm.data_centre != upstream.data_centre;
-            (
-                remote,
-                std::cmp::Reverse(score(&upstream.upstream, &vm.vm)),
-                vm,
-            )
-        })
-        .collect();
-    ranked
-        .sort_by(|left, right| (left.0, left.1, &left.2.vm).cmp(&(right.0, right.1, &right.2.vm)));
-    ranked.into_iter().map(|(_, _, vm)| vm).collect()
+    let candidates = vms.iter().filter(|vm| !vm.leaving).map(|vm| {
+        let remote = vm.data_centre != upstream.data_centre;
+        (remote, vm.vm.as_str(), vm)
+    });
+    rank_candidates(&upstream.upstream, candidates)
+}
+
+/// Orders candidates for `key`: those that are not remote first, and each part in rendezvous order.
+/// A candidate is whether it is remote, its name, and what is returned for it.
+#[must_use]
+pub fn rank_candidates<'a, T>(
+    key: &str,
+    candidates: impl Iterator<Item = (bool, &'a str, T)>,
+) -> Vec<T> {
+    let mut ranked: Vec<_> = candidates.collect();
+    ranked.sort_by_cached_key(|(remote, name, _)| (*remote, cmp::Reverse(score(key, name)), *name));
+    ranked.into_iter().map(|(_, _, item)| item).collect()
 }
 
 /// Returns the rendezvous score of `candidate` for `key`; the highest score wins.
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -105,10 +105,7 @@
                 AttemptEnd::Retry(reason, upstream, refusal) => (reason, upstream, refusal),
             };
             self.writer.output.clear();
-            if matches!(
-                reason,
-                retry_reason::RetryReason::LinkBroken | retry_reason::RetryReason::UpstreamBroken
-            ) {
+            if reason.broke_off() {
                 cut_off = Some(refusal.detail.clone());
             }
             let stays = matches!(
--- a/src/model/retry_reason.rs
+++ b/src/model/retry_reason.rs
@@ -32,6 +32,15 @@
 }
 
 impl RetryReason {
+    /// Tells whether a connection broke while the attempt before ran.
+    #[must_use]
+    pub const fn broke_off(self) -> bool {
+        match self {
+            Self::LinkBroken | Self::UpstreamBroken => true,
+            Self::Refused | Self::PoolUnreachable | Self::ReadOnlyUpstream => false,
+        }
+    }
+
     /// Tells whether the attempt before may have reached an upstream. Only such retries add to the
     /// load of upstreams and so draw on the retry budget; the others are new routes for work that
     /// nobody has seen, such as writes that had queued behind a primary that was lost.
--- a/src/node/board.rs
+++ b/src/node/board.rs
@@ -300,7 +300,9 @@
     pub fn member_count(&self) -> u32 {
         let members = self.members.borrow();
         let own = u32::from(!members.contains_key(&self.node));
-        (u32::try_from(members.len()).unwrap_or(u32::MAX) + own).max(1)
+        u32::try_from(members.len())
+            .unwrap_or(u32::MAX)
+            .saturating_add(own)
     }
 
     fn usable_connections(&self, group: &str) -> u32 {
--- a/src/node/gauges.rs
+++ b/src/node/gauges.rs
@@ -8,10 +8,9 @@
     metrics::gauge!("persimmontack_members").set(f64::from(board.member_count()));
     for pool in board.pools() {
         let upstream = pool.upstream().clone();
-        let waiting = u32::try_from(pool.waiting()).unwrap_or(u32::MAX);
         let running = pool.health.get().running();
         let values = [
-            ("persimmontack_upstream_waiting", waiting),
+            ("persimmontack_upstream_waiting", pool.waiting()),
             ("persimmontack_upstream_running", running),
             ("persimmontack_upstream_connections", pool.connections()),
             (
--- a/src/node/hosts.rs
+++ b/src/node/hosts.rs
@@ -1,6 +1,5 @@
 //! Chooses the VMs that connect to the upstreams of a group. Pure: the members go in as values.
 
-use std::cmp;
 use std::collections;
 
 use crate::decide::ownership;
@@ -24,25 +23,24 @@
     members: &collections::BTreeMap<ids::VmId, member::MemberEntry>,
     most: usize,
 ) -> Vec<ids::VmId> {
-    let mut scored: Vec<_> = members
+    let candidates = members
         .iter()
-        .map(|(vm, entry)| (cmp::Reverse(ownership::score(group, vm)), vm, entry))
-        .collect();
-    scored.sort_by_key(|(score, vm, _)| (*score, *vm));
+        .map(|(vm, entry)| (false, vm.as_str(), (vm, entry)));
     let mut counts: collections::BTreeMap<&str, usize> = collections::BTreeMap::new();
-    let mut ranked: Vec<_> = scored
+    let mut ranked: Vec<_> = ownership::rank_candidates(group, candidates)
         .into_iter()
-        .map(|(score, vm, entry)| {
+        .map(|(vm, entry)| {
             let count = counts.entry(&entry.data_centre).or_default();
             *count += 1;
-            (*count, score, vm)
+            (*count, vm)
         })
         .collect();
-    ranked.sort();
+    // Stable, so that VMs of one place in their data centres stay in rendezvous order.
+    ranked.sort_by_key(|(count, _)| *count);
     ranked
         .into_iter()
         .take(most)
-        .map(|(_, _, vm)| vm.clone())
+        .map(|(_, vm)| vm.clone())
         .collect()
 }
 
@@ -55,17 +53,12 @@
     node: &str,
     data_centre: &str,
 ) -> Vec<ids::VmId> {
-    let mut ordered: Vec<_> = hosts
+    let candidates = hosts
         .iter()
         .filter(|host| *host != node)
         .filter_map(|host| {
             let remote = members.get(host)?.data_centre != data_centre;
-            Some((remote, cmp::Reverse(ownership::score(node, host)), host))
-        })
-        .collect();
-    ordered.sort();
-    ordered
-        .into_iter()
-        .map(|(_, _, host)| host.clone())
-        .collect()
+            Some((remote, host.as_str(), host.clone()))
+        });
+    ownership::rank_candidates(node, candidates)
 }
--- a/src/node/pool.rs
+++ b/src/node/pool.rs
@@ -120,8 +120,8 @@
 
     /// Returns the statements that wait for a connection.
     #[must_use]
-    pub fn waiting(&self) -> usize {
-        self.waiting.borrow().len()
+    pub fn waiting(&self) -> u32 {
+        u32::try_from(self.waiting.borrow().len()).unwrap_or(u32::MAX)
     }
 
     /// Tells whether the upstream was removed.
@@ -369,7 +369,7 @@
         if self.gone.get() || self.not_before.get().is_some_and(|moment| now < moment) {
             return;
         }
-        let wanted = u32::try_from(self.waiting.borrow().len()).unwrap_or(u32::MAX);
+        let wanted = self.waiting();
         while self.connecting.get() < wanted && self.connections() < self.share() {
             self.open_one();
         }
--- a/src/node/reads.rs
+++ b/src/node/reads.rs
@@ -71,7 +71,7 @@
                     remote,
                     avoid: unusable || health.is_suspect(now) || lagging || pool.is_shut(),
                     tried: tried.contains(pool.upstream()),
-                    load: health.running() + u32::try_from(pool.waiting()).unwrap_or(u32::MAX),
+                    load: health.running() + pool.waiting(),
                     usual: health.usual(),
                 }
             })
--- a/src/node/relay.rs
+++ b/src/node/relay.rs
@@ -46,7 +46,6 @@
 /// A stream to a host.
 #[derive(Debug)]
 struct HostStream {
-    host: ids::VmId,
     writer: frame_writer::FrameWriter,
     reader: frame_reader::FrameReader,
     welcomed: bool,
@@ -58,7 +57,7 @@
 #[derive(Debug, Default)]
 pub struct RelaySession {
     stream: Option<HostStream>,
-    /// Host that was turned to last.
+    /// Host of the stream, or the one that was turned to last.
     host: Option<ids::VmId>,
     /// Route of the statement or transaction.
     route: Option<config::DatabaseRoute>,
@@ -132,13 +131,7 @@
             // The host rolls back what it has lost its caller for.
             return answers::CallerAnswer::local(self.state);
         }
-        report.failed(code, &reason);
-        let text = if code == answers::ErrorCode::Unknown {
-            reason
-        } else {
-            answers::come_back(&reason)
-        };
-        answers::CallerAnswer::error(code, text, self.state)
+        report.refuse(code, &reason, self.state)
     }
 
     /// Has a host run a statement. What has not run, and reads outside a transaction, go to
@@ -217,11 +210,12 @@
             };
         }
         let hosts = board.hosts(&order.route.group);
-        if let Some(stream) = &self.stream
-            && hosts.contains(&stream.host)
+        if self.stream.is_some()
+            && let Some(host) = &self.host
+            && hosts.contains(host)
         {
-            if !tried.contains(&stream.host) {
-                tried.push(stream.host.clone());
+            if !tried.contains(host) {
+                tried.push(host.clone());
             }
             return Ok(());
         }
@@ -245,7 +239,6 @@
             .await
             .map_err(|error| error.to_string())?;
         self.stream = Some(HostStream {
-            host,
             writer,
             reader,
             welcomed: false,
--- a/src/node/relay_caller.rs
+++ b/src/node/relay_caller.rs
@@ -75,6 +75,13 @@
         }
     }
 
+    /// Sends the last reply. A VM that has left needs none.
+    async fn end(&mut self, reply: &relay_frame::RelayReply) {
+        if let Err(error) = self.stream.writer.send_last(reply).await {
+            journal::debug("relayed_session_lost", &[("reason", &error)]);
+        }
+    }
+
     async fn send(&mut self, reply: &relay_frame::RelayReply) -> io::Result<()> {
         self.stream
             .writer
@@ -127,19 +134,13 @@
     }
 
     async fn reject(&mut self, error: &answers::StatementError) {
-        let reply = relay_frame::RelayReply::Rejected(error.clone());
-        if let Err(error) = self.stream.writer.send_last(&reply).await {
-            journal::debug("relayed_session_lost", &[("reason", &error)]);
-        }
+        self.end(&relay_frame::RelayReply::Rejected(error.clone()))
+            .await;
     }
 
     async fn close(&mut self) {
-        if self.owes {
-            return;
-        }
-        let reply = relay_frame::RelayReply::Closing;
-        if let Err(error) = self.stream.writer.send_last(&reply).await {
-            journal::debug("relayed_session_lost", &[("reason", &error)]);
+        if !self.owes {
+            self.end(&relay_frame::RelayReply::Closing).await;
         }
     }
 }
--- a/src/node/request_report.rs
+++ b/src/node/request_report.rs
@@ -104,6 +104,22 @@
         );
     }
 
+    /// Reports an error, and returns the answer that tells the caller. Where nothing is kept, the
+    /// caller is also told when to come back.
+    pub fn refuse(
+        &self,
+        code: answers::ErrorCode,
+        reason: &dyn std::fmt::Display,
+        state: answers::TransactionState,
+    ) -> answers::CallerAnswer {
+        self.failed(code, reason);
+        let text = match code {
+            answers::ErrorCode::Busy | answers::ErrorCode::Aborted => answers::come_back(reason),
+            _ => reason.to_string(),
+        };
+        answers::CallerAnswer::error(code, text, state)
+    }
+
     fn count(&self, outcome: &'static str, elapsed: time::Duration) {
         metrics::counter!(
             "persimmontack_requests_total",
--- a/src/node/session.rs
+++ b/src/node/session.rs
@@ -289,16 +289,10 @@
                 answer
             }
             transaction::TransactionEnd::Aborted(reason) => {
-                report.failed(answers::ErrorCode::Aborted, &reason);
-                answers::CallerAnswer::error(
-                    answers::ErrorCode::Aborted,
-                    answers::come_back(&reason),
-                    idle,
-                )
+                report.refuse(answers::ErrorCode::Aborted, &reason, idle)
             }
             transaction::TransactionEnd::Unknown(reason) => {
-                report.failed(answers::ErrorCode::Unknown, &reason);
-                answers::CallerAnswer::error(answers::ErrorCode::Unknown, reason, idle)
+                report.refuse(answers::ErrorCode::Unknown, &reason, idle)
             }
         }
     }
@@ -367,12 +361,7 @@
             }
             transaction::TransactionEnd::Aborted(reason)
             | transaction::TransactionEnd::Unknown(reason) => {
-                report.failed(answers::ErrorCode::Aborted, &reason);
-                answers::CallerAnswer::error(
-                    answers::ErrorCode::Aborted,
-                    answers::come_back(&reason),
-                    state,
-                )
+                report.refuse(answers::ErrorCode::Aborted, &reason, state)
             }
         }
     }
@@ -408,26 +397,14 @@
                 answers::CallerAnswer::pass(answer, idle)
             }
             reads::ReadEnd::NotRun(reason) => {
-                report.failed(answers::ErrorCode::Busy, &reason);
-                answers::CallerAnswer::error(
-                    answers::ErrorCode::Busy,
-                    answers::come_back(&reason),
-                    idle,
-                )
+                report.refuse(answers::ErrorCode::Busy, &reason, idle)
             }
             reads::ReadEnd::Late(upstream) => {
                 report.upstream = &upstream;
-                report.failed(answers::ErrorCode::Timeout, &"no answer in time");
-                let text = "no answer in time";
-                answers::CallerAnswer::error(answers::ErrorCode::Timeout, text, idle)
+                report.refuse(answers::ErrorCode::Timeout, &"no answer in time", idle)
             }
             reads::ReadEnd::Broken(reason) => {
-                report.failed(answers::ErrorCode::Aborted, &reason);
-                answers::CallerAnswer::error(
-                    answers::ErrorCode::Aborted,
-                    answers::come_back(&reason),
-                    idle,
-                )
+                report.refuse(answers::ErrorCode::Aborted, &reason, idle)
             }
         }
     }
@@ -469,17 +446,11 @@
                 answer
             }
             writes::WriteEnd::NotRun(reason) => {
-                report.failed(answers::ErrorCode::Busy, &reason);
-                answers::CallerAnswer::error(
-                    answers::ErrorCode::Busy,
-                    answers::come_back(&reason),
-                    idle,
-                )
+                report.refuse(answers::ErrorCode::Busy, &reason, idle)
             }
             writes::WriteEnd::Unknown(upstream, reason) => {
                 report.upstream = &upstream;
-                report.failed(answers::ErrorCode::Unknown, &reason);
-                answers::CallerAnswer::error(answers::ErrorCode::Unknown, reason, idle)
+                report.refuse(answers::ErrorCode::Unknown, &reason, idle)
             }
         }
     }
--- a/src/node/status.rs
+++ b/src/node/status.rs
@@ -90,7 +90,7 @@
         let health = pool.health.get();
         program_report::QueueReport {
             upstream: pool.upstream().clone(),
-            waiting: u32::try_from(pool.waiting()).unwrap_or(u32::MAX),
+            waiting: pool.waiting(),
             running: health.running(),
             connections: pool.connections(),
             wait: health.usual().unwrap_or_default(),
