--- a/tests/acknowledged_writes.rs
+++ b/tests/acknowledged_writes.rs
@@ -3,7 +3,7 @@
 
 use standins::fault_link::FlowRule;
 use standins::platform::fault_plan;
-use testenv::{env_plan, proof, test_env, waiting};
+use testenv::{caller_load, env_plan, proof, test_env, waiting};
 
 /// Times that let every writer answer soon.
 const LIMITS: &str = "write_deadline = \"2s\"\nconfirm_deadline = \"2s\"";
@@ -23,14 +23,14 @@
     plan
 }
 
-async fn start() -> (test_env::TestEnv, proof::CallerLoad) {
+async fn start() -> (test_env::TestEnv, caller_load::CallerLoad) {
     let mut env = proof::start(plan(LIMITS)).await;
-    let load = proof::CallerLoad::start(&mut env);
+    let load = caller_load::CallerLoad::start(&mut env);
     load.more(20).await;
     (env, load)
 }
 
-async fn judge(env: &test_env::TestEnv, load: proof::CallerLoad) {
+async fn judge(env: &test_env::TestEnv, load: caller_load::CallerLoad) {
     load.more(20).await;
     let told = load.finish().await;
     proof::settle(env, 1).await;
@@ -179,7 +179,7 @@
     let limits = format!("{}[limits]\nlease_ms = 1000\n", proof::KEEPER_TIMES);
     plan.settings.insert("persimmon-keeper".to_owned(), limits);
     let mut env = proof::start(plan).await;
-    let load = proof::CallerLoad::start(&mut env);
+    let load = caller_load::CallerLoad::start(&mut env);
     load.more(20).await;
     let holder = waiting::until_some("a keeper holds the shard", || lease_holder(&env)).await;
     let (term, primary) = proof::primary(&env);
@@ -204,7 +204,7 @@
     let times = format!("{}rank_delay_ms = 0\nsettle_ms = 0\n", proof::KEEPER_TIMES);
     plan.settings.insert("persimmon-keeper".to_owned(), times);
     let mut env = proof::start(plan).await;
-    let load = proof::CallerLoad::start(&mut env);
+    let load = caller_load::CallerLoad::start(&mut env);
     for _ in 0..3 {
         load.more(10).await;
         let (term, primary) = proof::primary(&env);
--- a/tests/at_most_once.rs
+++ b/tests/at_most_once.rs
@@ -7,7 +7,7 @@
 use rand::{RngExt, SeedableRng};
 use standins::fault_link;
 use standins::fault_link::FlowRule;
-use testenv::{proof, test_env, waiting};
+use testenv::{caller_load, proof, test_env, waiting};
 
 const LIMITS: &str = "write_deadline = \"2s\"\nconfirm_deadline = \"2s\"";
 /// Faults that one run of the random test plays.
@@ -25,7 +25,7 @@
     writeln!(std::io::stderr(), "PERSIMMON_SEED={seed}").expect("stderr");
     let mut random = rand::rngs::StdRng::seed_from_u64(seed);
     let mut env = proof::start(proof::plan(LIMITS)).await;
-    let load = proof::CallerLoad::start(&mut env);
+    let load = caller_load::CallerLoad::start(&mut env);
     for _ in 0..FAULTS {
         let centre = random.random_range(1..=3);
         let (name, what) = match random.random_range(0..3) {
--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -1,13 +1,13 @@
 //! An accepted configuration is in force everywhere and never reverts, judged by which logins the
 //! entries accept and by the revisions that the VMs report.
 
+mod configuration_support;
+
 use std::collections;
-use std::net;
-use std::sync;
-use std::sync::atomic;
 use std::time;
 
 use axum::routing;
+use configuration_support as support;
 use persimmontack::decide::{ownership, rule_log};
 use persimmontack::dial;
 use persimmontack::link::{client, gossip, hello, program_report, server, stream_kind};
@@ -15,112 +15,17 @@
 use persimmontack::platform::kv_entry;
 use standins::fault_link;
 use standins::platform::fault_plan;
-use testenv::{env_plan, http_call, process_set, test_env, waiting};
-
-const OUTAGE: fault_plan::FaultPlan = fault_plan::FaultPlan {
-    outage: fault_plan::OutageKind::Refuse,
-    slow_ms: 0,
-    lost_answers: 0,
-};
-
-fn rules(users: &[&str]) -> String {
-    users
-        .iter()
-        .map(|user| env_plan::login_rules(user, "pencil"))
-        .collect()
-}
-
-async fn start(vms: &[usize], links: bool) -> test_env::TestEnv {
-    let mut plan = env_plan::EnvPlan::new(vms)
-        .group("proofs", |_index, _upstream| {})
-        .rules(&rules(&["clerk"]));
-    plan.fault_links = links;
-    let env = test_env::TestEnv::start(plan).await.expect("start");
-    env.wait_ready().await;
-    wait_login(&env, &names(&env), "clerk", true).await;
-    env
-}
-
-fn names(env: &test_env::TestEnv) -> Vec<String> {
-    env.vms().iter().map(|place| place.vm.clone()).collect()
-}
-
-fn listen(env: &test_env::TestEnv, vm: &str) -> net::SocketAddr {
-    env.entry_address(vm).expect("entry")
-}
-
-/// Tells whether the entry takes the login, or `None` if it answers neither way.
-async fn takes_login(address: net::SocketAddr, user: &str) -> Option<bool> {
-    match test_env::connect_to(address, user, "pencil", "proofs", "").await {
-        Ok(_client) => Some(true),
-        Err(error) => match error.code().map(|state| state.code().to_owned())?.as_str() {
-            "28P01" | "28000" => Some(false),
-            _ => None,
-        },
-    }
-}
-
-async fn wait_login(env: &test_env::TestEnv, vms: &[String], user: &str, taken: bool) {
-    for vm in vms {
-        waiting::until(&format!("{vm} takes {user}: {taken}"), async || {
-            takes_login(listen(env, vm), user).await == Some(taken)
-        })
-        .await;
-    }
-}
-
-/// Logs in at every entry over and over and notes each entry that goes back on a login, which
-/// shows that older rules have come into force there.
-struct LoginWatch {
-    ended: sync::Arc<atomic::AtomicBool>,
-    task: tokio::task::JoinHandle<(u32, collections::BTreeSet<net::SocketAddr>)>,
-}
-
-impl LoginWatch {
-    /// `taken` tells whether entries change from refusing to taking the login, or the other way.
-    fn start(env: &test_env::TestEnv, user: &str, taken: bool) -> Self {
-        let ended = sync::Arc::new(atomic::AtomicBool::new(false));
-        let addresses: Vec<_> = names(env).iter().map(|vm| listen(env, vm)).collect();
-        let (user, over) = (user.to_owned(), sync::Arc::clone(&ended));
-        let task = tokio::spawn(async move {
-            let (mut looks, mut changed) = (0, collections::BTreeSet::new());
-            let mut reverted = collections::BTreeSet::new();
-            while !over.load(atomic::Ordering::Relaxed) {
-                for address in &addresses {
-                    let Some(now) = takes_login(*address, &user).await else {
-                        continue;
-                    };
-                    looks += 1;
-                    if now == taken {
-                        changed.insert(*address);
-                    } else if changed.contains(address) {
-                        reverted.insert(*address);
-                    }
-                }
-                tokio::time::sleep(time::Duration::from_millis(5)).await;
-            }
-            (looks, reverted)
-        });
-        Self { ended, task }
-    }
-
-    async fn finish(self) {
-        self.ended.store(true, atomic::Ordering::Relaxed);
-        let (looks, reverted) = self.task.await.expect("watch");
-        assert!(looks > 0, "the watch saw nothing");
-        assert!(reverted.is_empty(), "rules reverted at {reverted:?}");
-    }
-}
+use testenv::{http_call, process_set, test_env, waiting};
 
 /// Guards against two accepted changes of one revision, and against an entry that has the rules of
 /// the operator who lost.
 #[tokio::test]
 async fn of_two_racing_operators_one_wins_everywhere() {
-    let env = start(&[1, 1], false).await;
+    let env = support::start(&[1, 1], false).await;
     let mut files = Vec::new();
     for user in ["anna", "ben"] {
         let path = env.directory().join(user);
-        std::fs::write(&path, rules(&["clerk", user])).expect("rules");
+        std::fs::write(&path, support::rules(&["clerk", user])).expect("rules");
         files.push(path.to_str().expect("UTF-8").to_owned());
     }
     let apply = async |file: &str, author: &str| {
@@ -138,10 +43,10 @@
     };
     let told = String::from_utf8_lossy(&lost.stderr).into_owned();
     assert!(told.contains(winner), "{loser} was told {told:?}");
-    let watch = LoginWatch::start(&env, winner, true);
+    let watch = support::LoginWatch::start(&env, winner, true);
     env.wait_in_force(&["vm-1-1", "vm-2-1"], 2).await;
-    wait_login(&env, &names(&env), winner, true).await;
-    wait_login(&env, &names(&env), loser, false).await;
+    support::wait_login(&env, &support::names(&env), winner, true).await;
+    support::wait_login(&env, &support::names(&env), loser, false).await;
     watch.finish().await;
 }
 
@@ -149,9 +54,9 @@
 /// store's answer is lost.
 #[tokio::test]
 async fn a_change_whose_answer_is_lost_is_in_force_once() {
-    let env = start(&[1, 1], false).await;
+    let env = support::start(&[1, 1], false).await;
     let path = env.directory().join("rules");
-    std::fs::write(&path, rules(&["clerk", "anna"])).expect("rules");
+    std::fs::write(&path, support::rules(&["clerk", "anna"])).expect("rules");
     // The daemons' own writes lose their answers too; a plan for one answer could hit theirs.
     let plan = fault_plan::FaultPlan {
         lost_answers: 1_000_000,
@@ -169,8 +74,11 @@
     let log = platform.list(rule_log::LOG_PREFIX).await.expect("log");
     assert_eq!(log.entries.len(), 2, "{log:?}");
     // `--wait` has returned, so there is nothing left to wait for.
-    for vm in names(&env) {
-        assert_eq!(takes_login(listen(&env, &vm), "anna").await, Some(true));
+    for vm in support::names(&env) {
+        assert_eq!(
+            support::takes_login(support::listen(&env, &vm), "anna").await,
+            Some(true)
+        );
     }
 }
 
@@ -179,13 +87,15 @@
 /// VM's keeper has no peers in its settings and is found by the others.
 #[tokio::test]
 async fn a_vm_restarted_in_an_outage_takes_its_tables_from_a_peer() {
-    let mut env = start(&[2, 1], false).await;
-    env.apply_rules(&rules(&["clerk", "anna"]))
+    let mut env = support::start(&[2, 1], false).await;
+    env.apply_rules(&support::rules(&["clerk", "anna"]))
         .await
         .expect("rules");
     env.wait_in_force(&["vm-1-1", "vm-1-2", "vm-2-1"], 2).await;
-    env.set_platform_faults(OUTAGE).await.expect("faults");
-    let watch = LoginWatch::start(&env, "anna", true);
+    env.set_platform_faults(support::OUTAGE)
+        .await
+        .expect("faults");
+    let watch = support::LoginWatch::start(&env, "anna", true);
     for vm in ["vm-1-1", "vm-1-2"] {
         env.restart(&format!("{vm}-keeper")).await.expect("keeper");
         env.wait_in_force(&[vm], 2).await;
@@ -196,7 +106,7 @@
             env.restart(&format!("{vm}-{daemon}")).await.expect(daemon);
         }
         env.wait_in_force(&[vm], 2).await;
-        wait_login(&env, &[vm.to_owned()], "anna", true).await;
+        support::wait_login(&env, &[vm.to_owned()], "anna", true).await;
     }
     env.wait_ready().await;
     for vm in ["vm-1-1", "vm-1-2"] {
@@ -210,7 +120,7 @@
 /// others.
 #[tokio::test]
 async fn a_data_centre_that_was_cut_off_takes_what_it_missed() {
-    let env = start(&[1, 1, 1], true).await;
+    let env = support::start(&[1, 1, 1], true).await;
     let sources = |name: &str| {
         let places = env
             .vms()
@@ -235,42 +145,46 @@
             }
         }
     }
-    let watch = LoginWatch::start(&env, "clerk", false);
-    env.apply_rules(&rules(&["anna"])).await.expect("rules");
+    let watch = support::LoginWatch::start(&env, "clerk", false);
+    env.apply_rules(&support::rules(&["anna"]))
+        .await
+        .expect("rules");
     env.wait_in_force(&["vm-1-1", "vm-2-1"], 2).await;
     let (near, far) = (
         ["vm-1-1", "vm-2-1"].map(str::to_owned),
         ["vm-3-1".to_owned()],
     );
-    wait_login(&env, &near, "clerk", false).await;
+    support::wait_login(&env, &near, "clerk", false).await;
     assert_eq!(
-        takes_login(listen(&env, "vm-3-1"), "clerk").await,
+        support::takes_login(support::listen(&env, "vm-3-1"), "clerk").await,
         Some(true)
     );
     for link in env.links().values() {
         link.heal();
     }
     env.wait_in_force(&["vm-3-1"], 2).await;
-    wait_login(&env, &far, "clerk", false).await;
-    wait_login(&env, &far, "anna", true).await;
+    support::wait_login(&env, &far, "clerk", false).await;
+    support::wait_login(&env, &far, "anna", true).await;
     watch.finish().await;
 }
 
 /// Guards against older rules that come back from a peer that fell behind or from the store.
 #[tokio::test]
 async fn older_rules_are_not_taken_from_a_peer_or_the_store() {
-    let mut env = start(&[1, 1], false).await;
-    env.apply_rules(&rules(&["anna"])).await.expect("rules");
-    let vms = names(&env);
+    let mut env = support::start(&[1, 1], false).await;
+    env.apply_rules(&support::rules(&["anna"]))
+        .await
+        .expect("rules");
+    let vms = support::names(&env);
     env.wait_in_force(&["vm-1-1", "vm-2-1"], 2).await;
-    let watch = LoginWatch::start(&env, "clerk", false);
-    wait_login(&env, &vms, "clerk", false).await;
+    let watch = support::LoginWatch::start(&env, "clerk", false);
+    support::wait_login(&env, &vms, "clerk", false).await;
 
     let old = rule_log::RuleSnapshot {
         revision: 1,
-        text: rules(&["clerk"]),
+        text: support::rules(&["clerk"]),
     };
-    let (removed, added) = rule_log::diff(&rules(&["anna"]), &rules(&["clerk"]));
+    let (removed, added) = rule_log::diff(&support::rules(&["anna"]), &support::rules(&["clerk"]));
     let replayed = rule_log::RuleChange {
         id: "replayed".to_owned(),
         revision: 2,
@@ -319,7 +233,10 @@
         platform.put(&key, &body).await.expect("put");
     }
     // A change after them shows that the keepers have seen the store as it is now.
-    let (removed, added) = rule_log::diff(&rules(&["anna"]), &rules(&["anna", "ben"]));
+    let (removed, added) = rule_log::diff(
+        &support::rules(&["anna"]),
+        &support::rules(&["anna", "ben"]),
+    );
     let body = kv_entry::PutBody {
         value: serde_json::to_string(&rule_log::RuleChange {
             id: "next".to_owned(),
@@ -337,11 +254,11 @@
         .await
         .expect("put");
     env.wait_in_force(&["vm-1-1", "vm-2-1"], 3).await;
-    wait_login(&env, &vms, "ben", true).await;
+    support::wait_login(&env, &vms, "ben", true).await;
     // A keeper that starts again takes the text in force from its peer, not the store's old one.
     env.restart("vm-2-1-keeper").await.expect("keeper");
     env.wait_in_force(&["vm-2-1"], 3).await;
-    wait_login(&env, &vms, "clerk", false).await;
+    support::wait_login(&env, &vms, "clerk", false).await;
     watch.finish().await;
 }
 
@@ -349,29 +266,33 @@
 /// it are gone.
 #[tokio::test]
 async fn other_keepers_watch_when_the_watchers_are_killed() {
-    let mut env = start(&[3], false).await;
-    let mut ranked = names(&env);
+    let mut env = support::start(&[3], false).await;
+    let mut ranked = support::names(&env);
     ranked.sort_by_key(|vm| std::cmp::Reverse(ownership::score(rule_log::RULES_PREFIX, vm)));
     let last = ranked.pop().expect("three VMs");
     for vm in &ranked {
         env.kill(&format!("{vm}-keeper")).expect("kill");
     }
-    env.apply_rules(&rules(&["anna"])).await.expect("rules");
+    env.apply_rules(&support::rules(&["anna"]))
+        .await
+        .expect("rules");
     env.wait_in_force(&[&last], 2).await;
-    wait_login(&env, &[last], "anna", true).await;
+    support::wait_login(&env, &[last], "anna", true).await;
     for vm in &ranked {
         env.restart(&format!("{vm}-keeper")).await.expect("restart");
     }
     env.wait_in_force(&["vm-1-1", "vm-1-2", "vm-1-3"], 2).await;
-    wait_login(&env, &names(&env), "clerk", false).await;
+    support::wait_login(&env, &support::names(&env), "clerk", false).await;
 }
 
 /// Guards against an entry or a pool that goes back to older rules because the keeper on its VM
 /// started again and knows only those.
 #[tokio::test]
 async fn entry_and_pool_keep_their_rules_when_their_keeper_has_older_ones() {
-    let mut env = start(&[1], false).await;
-    env.apply_rules(&rules(&["anna"])).await.expect("rules");
+    let mut env = support::start(&[1], false).await;
+    env.apply_rules(&support::rules(&["anna"]))
+        .await
+        .expect("rules");
     env.wait_in_force(&["vm-1-1"], 2).await;
     let platform = env.platform().expect("platform");
     let mut groups = platform.groups().await.expect("groups");
@@ -381,7 +302,7 @@
         vms: platform.vms().await.expect("VMs"),
         groups,
         rules_revision: 1,
-        rules_text: rules(&["clerk"]),
+        rules_text: support::rules(&["clerk"]),
     };
     let keeper = env.processes().address("vm-1-1-keeper", "link");
     env.kill("vm-1-1-keeper").expect("kill");
@@ -400,14 +321,14 @@
             }
         }
     }));
-    let address = listen(&env, "vm-1-1");
+    let address = support::listen(&env, "vm-1-1");
     waiting::until("the tables to be taken", async || {
         let drafts = test_env::connect_to(address, "anna", "pencil", "drafts", "").await;
-        drafts.is_ok() || takes_login(address, "clerk").await == Some(true)
+        drafts.is_ok() || support::takes_login(address, "clerk").await == Some(true)
     })
     .await;
-    assert_eq!(takes_login(address, "clerk").await, Some(false));
-    assert_eq!(takes_login(address, "anna").await, Some(true));
+    assert_eq!(support::takes_login(address, "clerk").await, Some(false));
+    assert_eq!(support::takes_login(address, "anna").await, Some(true));
     // A pool reports after each tables that it takes.
     let mut heard = collections::BTreeSet::new();
     while heard.len() < 2 {
@@ -432,7 +353,7 @@
                 author: "test".to_owned(),
                 at: 0,
                 removed: Vec::new(),
-                added: rule_log::diff("", &rules(&["clerk"])).1,
+                added: rule_log::diff("", &support::rules(&["clerk"])).1,
             })
             .expect("JSON"),
             revision: 1,
--- a/tests/testenv/src/lib.rs
+++ b/tests/testenv/src/lib.rs
@@ -3,6 +3,7 @@
 //! Each VM and each upstream takes a loopback address of its own, `127.0.<data centre>.<n>`, so
 //! that a fault link can tell by the source of a connection where it comes from.
 
+pub mod caller_load;
 pub mod callers;
 pub mod child_process;
 pub mod env_plan;
--- a/tests/testenv/src/proof.rs
+++ b/tests/testenv/src/proof.rs
@@ -1,9 +1,8 @@
-//! What proofs share: callers that note what they were told, and the journals that judge it.
+//! What proofs share: statements with what was told of them, and the journals that judge it.
 
 use std::collections;
 use std::io;
 use std::net;
-use std::sync;
 use std::sync::atomic;
 use std::time;
 
@@ -410,108 +409,3 @@
         link.heal();
     }
 }
-
-/// Pause between two writes of one caller, which bounds the journals.
-const WRITE_PAUSE: time::Duration = time::Duration::from_millis(10);
-
-type ToldList = sync::Arc<sync::Mutex<Vec<(String, Told)>>>;
-
-/// Callers that write through all entries and note what they were told.
-#[derive(Debug)]
-pub struct CallerLoad {
-    told: ToldList,
-    stop: sync::Arc<atomic::AtomicBool>,
-    tasks: tokio::task::JoinSet<()>,
-}
-
-impl CallerLoad {
-    /// Starts two callers at each entry: one of single statements and one of transactions.
-    ///
-    /// # Panics
-    ///
-    /// Panics if an entry does not listen.
-    pub fn start(env: &mut test_env::TestEnv) -> Self {
-        let mut load = Self {
-            told: ToldList::default(),
-            stop: sync::Arc::default(),
-            tasks: tokio::task::JoinSet::new(),
-        };
-        for entry in env.processes().names("persimmon-entry") {
-            let address = env.processes().address(&entry, "listen").expect("listens");
-            for transactions in [false, true] {
-                let told = sync::Arc::clone(&load.told);
-                let stop = sync::Arc::clone(&load.stop);
-                let name = format!("{entry}-{transactions}");
-                load.tasks.spawn(async move {
-                    let mut number = 0;
-                    while !stop.load(atomic::Ordering::Relaxed) {
-                        tokio::time::sleep(WRITE_PAUSE).await;
-                        let connect = test_env::connect_to(address, USER, PASSWORD, GROUP, "");
-                        let connected = tokio::time::timeout(waiting::WAIT_LIMIT, connect).await;
-                        let Ok(Ok(client)) = connected else { continue };
-                        while !stop.load(atomic::Ordering::Relaxed) && !client.is_closed() {
-                            number += 1;
-                            let id = format!("{name}-{number}");
-                            let answer = if transactions {
-                                transaction(&client, &id).await
-                            } else {
-                                insert(&client, &id).await
-                            };
-                            lock(&told).push((id, answer));
-                            tokio::time::sleep(WRITE_PAUSE).await;
-                        }
-                    }
-                });
-            }
-        }
-        load
-    }
-
-    /// Waits until `count` more writes are acknowledged.
-    pub async fn more(&self, count: usize) {
-        let done = || {
-            lock(&self.told)
-                .iter()
-                .filter(|(_, told)| told.is_done())
-                .count()
-        };
-        let goal = done() + count;
-        waiting::until("the callers' writes are acknowledged", || async {
-            done() >= goal
-        })
-        .await;
-    }
-
-    /// Lets the callers finish and returns what they were told.
-    ///
-    /// # Panics
-    ///
-    /// Panics if a caller did.
-    pub async fn finish(mut self) -> Vec<(String, Told)> {
-        self.stop.store(true, atomic::Ordering::Relaxed);
-        while let Some(ended) = self.tasks.join_next().await {
-            ended.expect("a caller");
-        }
-        std::mem::take(&mut *lock(&self.told))
-    }
-}
-
-fn lock(told: &ToldList) -> sync::MutexGuard<'_, Vec<(String, Told)>> {
-    told.lock().unwrap_or_else(sync::PoisonError::into_inner)
-}
-
-/// Inserts in a transaction of its own. Whatever fails, except with an unknown outcome, is not kept.
-async fn transaction(client: &tokio_postgres::Client, id: &str) -> Told {
-    let not_kept = || Told::Failed("40001".to_owned());
-    if !run(client, "begin", "BEGIN").await.is_done() {
-        return not_kept();
-    }
-    if !insert(client, id).await.is_done() {
-        run(client, "rollback", "ROLLBACK").await;
-        return not_kept();
-    }
-    match run(client, "commit", "COMMIT").await {
-        Told::Failed(state) if state != "40003" => not_kept(),
-        told => told,
-    }
-}
