Log what a decision on a primary knows, and what it takes back

Two hypotheses of an incident with lost commits could not be told apart: an incomplete list of upstreams, or a fence that was lifted. A decision now says which upstreams it knows and since when, each lifting of fences has a line with the latest decision known, and so has a commit acknowledged during a decision. No behaviour changes.

--- a/src/node/board.rs
+++ b/src/node/board.rs
@@ -50,6 +50,8 @@
     pub changed: Notify,
     /// Whether the store answered last time.
     pub store_up: cell::Cell<bool>,
+    /// When the store was first read, by the steady clock.
+    pub listed_since: cell::Cell<Option<time::Duration>>,
     /// Sessions that are open.
     pub sessions: cell::Cell<u32>,
 }
@@ -72,6 +74,7 @@
             budget: cell::RefCell::default(),
             changed: Notify::new(),
             store_up: cell::Cell::default(),
+            listed_since: cell::Cell::default(),
             sessions: cell::Cell::default(),
         })
     }
@@ -214,6 +217,13 @@
             .collect()
     }
 
+    /// Returns for how long the list of upstreams has been followed.
+    #[must_use]
+    pub fn list_age(&self) -> Option<time::Duration> {
+        let since = self.listed_since.get()?;
+        Some(steady_now().saturating_sub(since))
+    }
+
     /// Returns the pool of a group's primary.
     #[must_use]
     pub fn primary_pool(&self, group: &group::GroupState) -> Option<rc::Rc<pool::UpstreamPool<E>>> {
--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -20,6 +20,7 @@
             Ok(all) => {
                 tables.note_store(None);
                 tables.replace(&all);
+                tables.note_listed();
                 tables.watch_from(all.revision).await;
             }
             Err(error) => {
@@ -101,6 +102,14 @@
         }
     }
 
+    fn note_listed(&self) {
+        let upstreams = self.board.pools().len();
+        journal::info("list_read", &[("upstreams", &upstreams)]);
+        if self.board.listed_since.get().is_none() {
+            self.board.listed_since.set(Some(board::steady_now()));
+        }
+    }
+
     /// Takes over everything that the store holds; what it does not hold any more has vanished.
     fn replace(&mut self, all: &edge::ControlChanges) {
         let mut upstreams = collections::BTreeSet::new();
--- a/src/node/failover.rs
+++ b/src/node/failover.rs
@@ -5,6 +5,7 @@
 //! on what was seen before an earlier one. See `docs/node.md`, "Failover".
 
 use std::rc;
+use std::time;
 
 use futures::future;
 use tokio::time::Instant;
@@ -53,6 +54,8 @@
             ("trouble", &trouble),
             ("primary", &group.primary().as_deref().unwrap_or("-")),
             ("acknowledged", &position_text(group.acknowledged())),
+            ("listed", &listed_text(board, group)),
+            ("list_age_ms", &age_text(board.list_age())),
         ],
     );
     let mut decision = Decision {
@@ -440,6 +443,20 @@
     }
 
     async fn unfence(&self) {
+        let fenced: Vec<_> = self
+            .fenced
+            .iter()
+            .map(|pool| pool.upstream().as_str())
+            .collect();
+        journal::info(
+            "fences_lifted",
+            &[
+                ("group", &self.group.group),
+                ("decision", &self.number),
+                ("latest", &self.group.decision()),
+                ("upstreams", &fenced.join(",")),
+            ],
+        );
         let asked = self
             .fenced
             .iter()
@@ -452,3 +469,16 @@
 fn position_text(position: Option<log_position::LogPosition>) -> String {
     position.map_or_else(|| "-".to_owned(), |position| position.to_string())
 }
+
+fn listed_text<E: edge::NodeEdge>(
+    board: &board::NodeBoard<E>,
+    group: &group::GroupState,
+) -> String {
+    let pools = board.pools_of(&group.group);
+    let names: Vec<_> = pools.iter().map(|pool| pool.upstream().as_str()).collect();
+    names.join(",")
+}
+
+fn age_text(age: Option<time::Duration>) -> String {
+    age.map_or_else(|| "-".to_owned(), |age| age.as_millis().to_string())
+}
--- a/src/node/writes.rs
+++ b/src/node/writes.rs
@@ -189,12 +189,32 @@
     if answer.result.is_ok()
         && let Some(position) = answer.position
     {
+        report_decision(group, pool.upstream(), position);
         group.confirm(pool.upstream(), asked, position);
         group.commit_ended(watch.number, Some(position), board::steady_now());
     }
     Ok(answer)
 }
 
+/// Reports an acknowledgement that came while a decision on the primary may be under way.
+fn report_decision(group: &group::GroupState, upstream: &str, position: log_position::LogPosition) {
+    let now = board::steady_now();
+    let recent =
+        |decided: std::time::Duration| now.saturating_sub(decided) < limits::DECISION_LIMIT;
+    if !group.decided().is_some_and(recent) {
+        return;
+    }
+    journal::info(
+        "commit_during_decision",
+        &[
+            ("group", &group.group),
+            ("upstream", &upstream),
+            ("position", &position),
+            ("decision", &group.decision()),
+        ],
+    );
+}
+
 /// Counts a commit as under way until it is answered or given up.
 struct CommitWatch {
     group: rc::Rc<group::GroupState>,
