Let the in-memory group lose entries, gain replicas and be cut off

The stand-in of the node's tests could not show how an acknowledged commit gets lost in a failover. Now an instance can be missing in the list, a replica can join, a commit that no replica has received hangs until one receives it, a promotion takes effect after a delay or without an answer, and single VMs can be cut off from instances, the store, the platform and each other. A claim of a decision is part of what a VM reads first, as in the real store.

--- a/standins/src/cluster/cluster_edge.rs
+++ b/standins/src/cluster/cluster_edge.rs
@@ -1,21 +1,20 @@
 //! [`ClusterEdge`]: the edges of a node on a [`cluster_state::ClusterState`].
 
 use std::cell;
-use std::collections;
 use std::io;
 use std::net;
 use std::rc;
 use std::time;
 
-use persimmontack::model::{ids, log_position};
-use persimmontack::node::{answers, command, edge, member, upstream_entry};
+use persimmontack::model::ids;
+use persimmontack::node::{edge, member, upstream_entry};
 
-use crate::cluster::cluster_state;
-use crate::cluster::connection_state;
-use crate::cluster::peer_network;
+use crate::cluster::{cluster_link, cluster_state, cut_table, peer_network, platform_state};
 
-/// Time after which a promoted instance leads.
+/// Time after which the platform answers a call.
 const PROMOTE_TIME: time::Duration = time::Duration::from_millis(50);
+/// Time after which a call to a store that cannot be reached is given up.
+const STORE_TIMEOUT: time::Duration = time::Duration::from_millis(1_200);
 
 /// A shared group of instances with its store.
 #[derive(Clone, Debug)]
@@ -26,6 +25,8 @@
     pub changed: rc::Rc<cluster_state::StoreSignal>,
     /// How VMs reach each other.
     pub network: rc::Rc<peer_network::PeerNetwork>,
+    /// VM whose edge it is; a test's own edge has no name and is never cut off.
+    vm: ids::VmId,
     started: tokio::time::Instant,
 }
 
@@ -37,82 +38,90 @@
             state: rc::Rc::new(cell::RefCell::new(state)),
             changed: rc::Rc::default(),
             network: rc::Rc::default(),
+            vm: ids::VmId::new(),
             started: tokio::time::Instant::now(),
         }
     }
 
-    /// Changes the state and wakes watches.
+    /// Returns the edge of a VM, which may be cut off.
+    #[must_use]
+    pub fn for_vm(&self, vm: &str) -> Self {
+        Self {
+            vm: vm.to_owned(),
+            ..self.clone()
+        }
+    }
+
+    /// Changes the state, lets replicas receive, and wakes what waits for a change.
     pub fn change<T>(&self, change: impl FnOnce(&mut cluster_state::ClusterState) -> T) -> T {
-        let result = change(&mut self.state.borrow_mut());
+        let mut state = self.state.borrow_mut();
+        let result = change(&mut state);
+        state.replicate();
+        drop(state);
         self.changed.notify_waiters();
         result
     }
 
-    fn check_store(&self) -> Result<(), edge::StoreError> {
+    /// Tells whether the VM is not cut off from an instance.
+    #[must_use]
+    pub fn reaches(&self, upstream: &str) -> bool {
+        !self.is_cut(&cut_table::CutTarget::Instance(upstream.to_owned()))
+    }
+
+    fn is_cut(&self, target: &cut_table::CutTarget) -> bool {
+        self.network.cuts.is_cut(&self.vm, target)
+    }
+
+    async fn check_store(&self) -> Result<(), edge::StoreError> {
+        if self.is_cut(&cut_table::CutTarget::Store) {
+            tokio::time::sleep(STORE_TIMEOUT).await;
+            return Err(edge::StoreError::NoAnswer("cut off".to_owned()));
+        }
         if self.state.borrow().store_up {
             Ok(())
         } else {
             Err(edge::StoreError::Refused(503))
         }
     }
-}
-
-/// A connection to an instance of the group.
-#[derive(Debug)]
-pub struct ClusterLink {
-    edge: ClusterEdge,
-    connection: connection_state::ConnectionState,
-    queued: Vec<command::UpstreamCommand>,
-    answers: collections::VecDeque<connection_state::CommandEnd>,
-}
 
-impl edge::UpstreamLink for ClusterLink {
-    fn queue(&mut self, command: &command::UpstreamCommand) {
-        self.queued.push(command.clone());
-    }
-
-    async fn flush(&mut self) -> io::Result<()> {
-        for command in std::mem::take(&mut self.queued) {
-            let end = self
-                .edge
-                .change(|state| self.connection.run(state, &command));
-            self.answers.push_back(end);
+    /// Takes a call for a promotion, which takes effect after a delay.
+    fn accept(
+        &self,
+        upstream: &str,
+        decision: edge::RevisionNumber,
+    ) -> Result<(), edge::PromoteError> {
+        let waits = self.change(|state| state.accept_promotion(upstream, decision))?;
+        if !waits {
+            return Ok(());
         }
-        Ok(())
-    }
-
-    async fn receive(&mut self) -> io::Result<answers::UpstreamAnswer> {
-        tokio::task::yield_now().await;
-        match self.answers.pop_front() {
-            Some(connection_state::CommandEnd::Answer(answer)) => Ok(answer),
-            Some(connection_state::CommandEnd::Silence) | None => std::future::pending().await,
+        let delay = self.state.borrow().platform.promotion_delay;
+        if delay.is_zero() {
+            self.change(|state| state.promote(upstream, decision));
+            return Ok(());
         }
+        let edge = self.clone();
+        let upstream = upstream.to_owned();
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(delay).await;
+            edge.change(|state| state.promote(&upstream, decision));
+        });
+        Ok(())
     }
 
-    fn is_stale(&mut self, _owed: bool) -> bool {
-        false
-    }
-
-    fn read_status(answer: &answers::UpstreamAnswer) -> Option<command::UpstreamStatus> {
-        let row = std::str::from_utf8(answer.rows.first()?).ok()?;
-        let mut fields = row.split(' ');
-        let primary = fields.next()? == "primary";
-        let term = fields.next()?.parse().ok()?;
-        let (received_term, offset) = fields.next()?.split_once('.')?;
-        Some(command::UpstreamStatus {
-            primary,
-            term,
-            received: log_position::LogPosition::new(
-                received_term.parse().ok()?,
-                offset.parse().ok()?,
-            ),
-            fenced: fields.next()?.parse().ok()?,
-        })
+    /// Takes a call for a promotion later on, when nobody waits for its answer.
+    fn accept_late(&self, upstream: &str, decision: edge::RevisionNumber, delay: time::Duration) {
+        let edge = self.clone();
+        let upstream = upstream.to_owned();
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(delay).await;
+            // The fence is checked now, and nobody is told of a refusal.
+            drop(edge.accept(&upstream, decision));
+        });
     }
 }
 
 impl edge::NodeEdge for ClusterEdge {
-    type Upstream = ClusterLink;
+    type Upstream = cluster_link::ClusterLink;
     type Lease = ids::VmId;
     type PeerSocket = tokio::io::DuplexStream;
 
@@ -130,23 +139,21 @@
             .instances
             .get(&entry.upstream)
             .is_some_and(|instance| instance.up);
-        if !up {
+        if !up || !self.reaches(&entry.upstream) {
             return std::future::pending().await;
         }
-        Ok(ClusterLink {
-            edge: self.clone(),
-            connection: connection_state::ConnectionState::new(entry.upstream.clone()),
-            queued: Vec::new(),
-            answers: collections::VecDeque::new(),
-        })
+        Ok(cluster_link::ClusterLink::new(
+            self.clone(),
+            entry.upstream.clone(),
+        ))
     }
 
     async fn connect_peer(&self, address: net::SocketAddr) -> io::Result<Self::PeerSocket> {
-        self.network.connect(address)
+        self.network.connect_from(&self.vm, address).await
     }
 
     async fn read_all(&self) -> Result<edge::ControlChanges, edge::StoreError> {
-        self.check_store()?;
+        self.check_store().await?;
         let state = self.state.borrow();
         let mut changes = vec![edge::ControlChange::Config(state.config.clone())];
         changes.extend(
@@ -159,8 +166,10 @@
             state
                 .instances
                 .values()
+                .filter(|instance| instance.listed)
                 .map(|instance| edge::ControlChange::Upstream(instance.entry.clone())),
         );
+        changes.extend(state.latest_claim().cloned());
         Ok(edge::ControlChanges {
             changes,
             revision: state.revision,
@@ -174,9 +183,9 @@
     ) -> Result<edge::ControlChanges, edge::StoreError> {
         let limit = tokio::time::Instant::now() + wait;
         loop {
-            self.check_store()?;
             let changed = self.changed.notified();
-            let (changes, latest) = {
+            self.check_store().await?;
+            let (changes, latest, delay) = {
                 let state = self.state.borrow();
                 let changes: Vec<_> = state
                     .events
@@ -184,10 +193,11 @@
                     .filter(|(at, _)| *at > revision)
                     .map(|(_, change)| change.clone())
                     .collect();
-                (changes, state.revision)
+                (changes, state.revision, state.watch_delay)
             };
             let late = tokio::time::Instant::now() >= limit;
             if !changes.is_empty() || late {
+                tokio::time::sleep(delay).await;
                 return Ok(edge::ControlChanges {
                     changes,
                     revision: latest,
@@ -206,17 +216,17 @@
         entry: &member::MemberEntry,
         _ttl: time::Duration,
     ) -> Result<Self::Lease, edge::StoreError> {
-        self.check_store()?;
+        self.check_store().await?;
         self.change(|state| state.join(node, entry));
         Ok(node.to_owned())
     }
 
     async fn renew(&self, _lease: &Self::Lease) -> Result<(), edge::StoreError> {
-        self.check_store()
+        self.check_store().await
     }
 
     async fn leave(&self, lease: &Self::Lease) -> Result<(), edge::StoreError> {
-        self.check_store()?;
+        self.check_store().await?;
         self.change(|state| state.leave(lease));
         Ok(())
     }
@@ -228,11 +238,16 @@
         previous: edge::RevisionNumber,
         purpose: edge::ClaimPurpose,
     ) -> Result<edge::RevisionNumber, edge::StoreError> {
-        self.check_store()?;
+        self.check_store().await?;
         self.change(|state| {
             if state.decision != previous {
                 return Err(edge::StoreError::Conflict);
             }
+            if purpose == edge::ClaimPurpose::Now
+                && let Some(name) = state.listed_by_claim.take()
+            {
+                state.list(&name);
+            }
             let number = state.revision + 1;
             state.decision = number;
             let claim = edge::DecisionClaim {
@@ -252,18 +267,30 @@
         _node: &str,
         decision: edge::RevisionNumber,
     ) -> Result<(), edge::PromoteError> {
+        if self.is_cut(&cut_table::CutTarget::Platform) {
+            return std::future::pending().await;
+        }
+        let mode = self.state.borrow().platform.mode;
+        if mode == platform_state::PlatformMode::Silent {
+            return std::future::pending().await;
+        }
         tokio::time::sleep(PROMOTE_TIME).await;
-        self.change(|state| {
-            let newest = state.promotions.last().map_or(0, |(_, number)| *number);
-            if decision < newest {
-                return Err(edge::PromoteError::Refused("a newer decision".to_owned()));
-            }
-            state.promote(upstream, decision);
-            if state.lose_promotions > 0 {
-                state.lose_promotions -= 1;
-                return Err(edge::PromoteError::NoAnswer("lost".to_owned()));
-            }
-            Ok(())
-        })
+        if mode == platform_state::PlatformMode::Refuses {
+            return Err(edge::PromoteError::Busy(503));
+        }
+        let (lost, delay) = {
+            let state = self.state.borrow();
+            (state.lose_promotions > 0, state.platform.lost_call_delay)
+        };
+        if lost && !delay.is_zero() {
+            self.accept_late(upstream, decision, delay);
+        } else {
+            self.accept(upstream, decision)?;
+        }
+        if lost {
+            self.change(|state| state.lose_promotions -= 1);
+            return Err(edge::PromoteError::NoAnswer("lost".to_owned()));
+        }
+        Ok(())
     }
 }
--- a/standins/src/cluster/cluster_state.rs
+++ b/standins/src/cluster/cluster_state.rs
@@ -1,59 +1,20 @@
 //! [`ClusterState`]: the instances of one group, and the store.
 
 use std::collections;
+use std::time;
 
 use bytes::Bytes;
 use persimmontack::model::{ids, log_position};
 use persimmontack::node::{answers, config, edge, member, upstream_entry};
 use tokio::sync::Notify;
 
-/// One committed write.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct LogEntry {
-    /// Its position.
-    pub position: log_position::LogPosition,
-    /// Id of the statement that committed it.
-    pub id: Bytes,
-    /// Items and their new data.
-    pub changes: Vec<(Bytes, Bytes)>,
-}
-
-/// One instance.
-#[derive(Clone, Debug)]
-pub struct InstanceState {
-    /// What the list says of it.
-    pub entry: upstream_entry::UpstreamEntry,
-    /// Whether it leads.
-    pub primary: bool,
-    /// Term that it knows.
-    pub term: ids::TermNumber,
-    /// What it has received.
-    pub log: Vec<LogEntry>,
-    /// How many entries reads see.
-    pub applied: usize,
-    /// Term up to which it is fenced.
-    pub fenced: ids::TermNumber,
-    /// Whether it takes new connections and answers.
-    pub up: bool,
-    /// Whether it receives what the primary commits.
-    pub receives: bool,
-    /// Whether it applies what it has received.
-    pub applies: bool,
-    /// Answers to the next statements that are lost after they ran.
-    pub lose_answers: u32,
-    /// Statements that it has no slot for, one after the other.
-    pub busy: u32,
-    /// Callers' statements that it ran, with their ids and texts.
-    pub ran: Vec<(Bytes, String)>,
-    /// Names of the values that were set on the connection of each of them.
-    pub ran_with: Vec<Vec<Bytes>>,
-}
+use crate::cluster::{hanging_commit, instance_state, platform_state};
 
 /// The instances of one group, and the store.
 #[derive(Debug)]
 pub struct ClusterState {
     /// Instances by id.
-    pub instances: collections::BTreeMap<ids::UpstreamId, InstanceState>,
+    pub instances: collections::BTreeMap<ids::UpstreamId, instance_state::InstanceState>,
     /// VMs that have an entry.
     pub members: collections::BTreeMap<ids::VmId, member::MemberEntry>,
     /// Latest configuration.
@@ -66,12 +27,20 @@
     pub decision: edge::RevisionNumber,
     /// Whether the store answers.
     pub store_up: bool,
+    /// Time by which watches of the store lag behind its changes.
+    pub watch_delay: time::Duration,
+    /// Instance whose entry is written right before the next decision takes its number.
+    pub listed_by_claim: Option<ids::UpstreamId>,
+    /// How the platform carries out promotions.
+    pub platform: platform_state::PlatformState,
     /// Promotions that were carried out: the instance and the decision.
     pub promotions: Vec<(ids::UpstreamId, edge::RevisionNumber)>,
     /// Promotions whose answer is lost, one after the other.
     pub lose_promotions: u32,
     /// Acknowledged commits: the statement's id and the position.
     pub acknowledged: Vec<(Bytes, log_position::LogPosition)>,
+    /// Commits of the present primary that no replica has received.
+    pub hanging: Vec<hanging_commit::HangingCommit>,
 }
 
 /// Name of the group.
@@ -92,13 +61,18 @@
             revision: 1,
             decision: 0,
             store_up: true,
+            watch_delay: time::Duration::ZERO,
+            listed_by_claim: None,
+            platform: platform_state::PlatformState::default(),
             promotions: Vec::new(),
             lose_promotions: 0,
             acknowledged: Vec::new(),
+            hanging: Vec::new(),
         };
         state.record(edge::ControlChange::Config(config));
         for (index, name) in ["a", "b", "c"].into_iter().enumerate() {
             state.add_instance(name, index, index == 0);
+            state.list(name);
         }
         state
     }
@@ -127,8 +101,8 @@
             primary,
             incarnation: 1,
         };
-        let instance = InstanceState {
-            entry: entry.clone(),
+        let instance = instance_state::InstanceState {
+            entry,
             primary,
             term: 1,
             log: Vec::new(),
@@ -136,6 +110,7 @@
             fenced: 0,
             up: true,
             receives: true,
+            listed: false,
             applies: true,
             lose_answers: 0,
             busy: 0,
@@ -143,9 +118,45 @@
             ran_with: Vec::new(),
         };
         self.instances.insert(name.to_owned(), instance);
+    }
+
+    /// Adds a replica that receives from the present primary at once and has no entry yet.
+    ///
+    /// # Panics
+    ///
+    /// Panics if there is such an instance.
+    pub fn add_replica(&mut self, name: &str) {
+        assert!(!self.instances.contains_key(name), "{name} exists");
+        let terms = self.instances.values().map(|instance| instance.term);
+        let term = terms.max().unwrap_or(1);
+        self.add_instance(name, self.instances.len(), false);
+        self.instance(name).term = term;
+        self.replicate();
+    }
+
+    /// Writes the entry of an instance.
+    pub fn list(&mut self, name: &str) {
+        let instance = self.instance(name);
+        instance.listed = true;
+        let entry = instance.entry.clone();
         self.record(edge::ControlChange::Upstream(entry));
     }
 
+    /// Removes the entry of an instance, which goes on running.
+    pub fn unlist(&mut self, name: &str) {
+        self.instance(name).listed = false;
+        self.record(edge::ControlChange::UpstreamGone(name.to_owned()));
+    }
+
+    /// Restarts a replica, which lifts its fence; it receives from then on.
+    pub fn restart(&mut self, name: &str) {
+        let replica = self.instance(name);
+        replica.up = true;
+        replica.fenced = 0;
+        replica.receives = true;
+        self.replicate();
+    }
+
     /// Records a change of the store.
     pub fn record(&mut self, change: edge::ControlChange) {
         self.revision += 1;
@@ -162,8 +173,10 @@
             return;
         };
         change(&mut instance.entry);
-        let entry = instance.entry.clone();
-        self.record(edge::ControlChange::Upstream(entry));
+        if instance.listed {
+            let entry = instance.entry.clone();
+            self.record(edge::ControlChange::Upstream(entry));
+        }
     }
 
     /// Returns an instance, which has to exist.
@@ -171,7 +184,7 @@
     /// # Panics
     ///
     /// Panics if there is no such instance.
-    pub fn instance(&mut self, name: &str) -> &mut InstanceState {
+    pub fn instance(&mut self, name: &str) -> &mut instance_state::InstanceState {
         self.instances.get_mut(name).expect("a known instance")
     }
 
@@ -184,38 +197,100 @@
             .map(|(name, _)| name.as_str())
     }
 
-    /// Appends a commit at the primary and sends it to the replicas. Returns whether a replica has
-    /// received it, which acknowledges it.
+    /// Appends a commit at the primary and sends it to the replicas. It hangs until one of them has
+    /// received it.
     pub fn commit(
         &mut self,
         name: &str,
         id: &Bytes,
         changes: Vec<(Bytes, Bytes)>,
-    ) -> Option<log_position::LogPosition> {
+    ) -> log_position::LogPosition {
         let primary = self.instance(name);
         let offset = primary.log.last().map_or(0, |entry| entry.position.offset) + 1;
         let position = log_position::LogPosition::new(primary.term, offset);
-        primary.log.push(LogEntry {
+        primary.log.push(instance_state::LogEntry {
             position,
             id: id.clone(),
             changes,
         });
         primary.applied = primary.log.len();
-        let log = primary.log.clone();
+        let id = id.clone();
+        self.hanging
+            .push(hanging_commit::HangingCommit { id, position });
+        self.replicate();
+        position
+    }
+
+    /// Sends the log of the primary to every replica that can receive, which acknowledges the
+    /// commits that hang.
+    pub fn replicate(&mut self) {
+        let leader = self.instances.values().find(|instance| instance.primary);
+        let Some(leader) = leader.filter(|leader| leader.up) else {
+            return;
+        };
+        let log = leader.log.clone();
         let mut received = false;
-        for (other, replica) in &mut self.instances {
-            if other != name && replica.up && replica.receives && replica.fenced == 0 {
-                replica.log.clone_from(&log);
+        for instance in self.instances.values_mut() {
+            if instance.can_receive() {
+                instance.receive_log(&log);
                 received = true;
             }
-            if replica.applies {
-                replica.applied = replica.log.len();
+            if instance.applies {
+                instance.applied = instance.log.len();
             }
         }
         if received {
-            self.acknowledged.push((id.clone(), position));
+            let hanging = self.hanging.drain(..);
+            self.acknowledged
+                .extend(hanging.map(|commit| (commit.id, commit.position)));
+        }
+    }
+
+    /// Returns how a commit ended.
+    #[must_use]
+    pub fn commit_end(&self, position: log_position::LogPosition) -> hanging_commit::CommitEnd {
+        if self
+            .hanging
+            .iter()
+            .any(|commit| commit.position == position)
+        {
+            hanging_commit::CommitEnd::Hanging
+        } else if self.acknowledged.iter().any(|(_, at)| *at == position) {
+            hanging_commit::CommitEnd::Acknowledged
+        } else {
+            hanging_commit::CommitEnd::Lost
         }
-        received.then_some(position)
+    }
+
+    /// Returns the latest claim of a decision, which the store keeps.
+    #[must_use]
+    pub fn latest_claim(&self) -> Option<&edge::ControlChange> {
+        let mut latest = self.events.iter().rev().map(|(_, change)| change);
+        latest.find(|change| matches!(change, edge::ControlChange::Decision(..)))
+    }
+
+    /// Takes a call for a promotion, whose number has to be as high as that of any earlier one.
+    /// Returns whether it has yet to take effect.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a later decision came first.
+    pub fn accept_promotion(
+        &mut self,
+        name: &str,
+        decision: edge::RevisionNumber,
+    ) -> Result<bool, edge::PromoteError> {
+        let calls = self.platform.accepted.iter().chain(&self.promotions);
+        let newest = calls.map(|(_, number)| *number).max().unwrap_or(0);
+        if decision < newest {
+            return Err(edge::PromoteError::Refused("a newer decision".to_owned()));
+        }
+        let call = (name.to_owned(), decision);
+        let repeated = self.platform.accepted.contains(&call);
+        if !repeated {
+            self.platform.accepted.push(call);
+        }
+        Ok(!repeated)
     }
 
     /// Makes an instance the primary of the next term, as the platform does.
@@ -230,6 +305,8 @@
             .max()
             .unwrap_or(0)
             + 1;
+        // The commits that hang are lost, or at least never answered.
+        self.hanging.clear();
         let log = self.instance(name).log.clone();
         for (other, instance) in &mut self.instances {
             instance.fenced = 0;
@@ -245,7 +322,7 @@
         let entries: Vec<_> = self
             .instances
             .values()
-            .filter(|instance| instance.up)
+            .filter(|instance| instance.up && instance.listed)
             .map(|instance| instance.entry.clone())
             .collect();
         for entry in entries {
@@ -254,37 +331,6 @@
     }
 }
 
-impl InstanceState {
-    /// Returns the last position that reads see.
-    #[must_use]
-    pub fn applied_position(&self) -> log_position::LogPosition {
-        self.applied
-            .checked_sub(1)
-            .and_then(|last| self.log.get(last))
-            .map_or(log_position::LogPosition::new(1, 0), |entry| entry.position)
-    }
-
-    /// Returns the last position that it has received.
-    #[must_use]
-    pub fn received_position(&self) -> log_position::LogPosition {
-        self.log
-            .last()
-            .map_or(log_position::LogPosition::new(1, 0), |entry| entry.position)
-    }
-
-    /// Returns the data of an item that reads see.
-    #[must_use]
-    pub fn read(&self, item: &[u8]) -> Bytes {
-        self.log
-            .iter()
-            .take(self.applied)
-            .rev()
-            .flat_map(|entry| entry.changes.iter().rev())
-            .find(|(name, _)| name.as_ref() == item)
-            .map_or_else(|| Bytes::from_static(b"none"), |(_, data)| data.clone())
-    }
-}
-
 /// Returns an error as an instance words it.
 ///
 /// # Errors
--- a/standins/src/cluster/connection_state.rs
+++ b/standins/src/cluster/connection_state.rs
@@ -6,7 +6,7 @@
 use persimmontack::model::log_position;
 use persimmontack::node::{answers, command, request};
 
-use crate::cluster::cluster_state;
+use crate::cluster::{cluster_state, hanging_commit, instance_state};
 
 #[derive(Debug)]
 struct OpenWork {
@@ -22,6 +22,8 @@
     prepared: collections::BTreeMap<command::PreparedNumber, request::PreparedShape>,
     work: Option<OpenWork>,
     failed: bool,
+    /// Position of the commit that the present command made.
+    committed: Option<log_position::LogPosition>,
 }
 
 /// What comes back for a command.
@@ -29,6 +31,8 @@
 pub enum CommandEnd {
     /// An answer.
     Answer(answers::UpstreamAnswer),
+    /// This answer, once the commit at this position is acknowledged.
+    Hanging(log_position::LogPosition, answers::UpstreamAnswer),
     /// Nothing, ever.
     Silence,
 }
@@ -43,9 +47,16 @@
             prepared: collections::BTreeMap::new(),
             work: None,
             failed: false,
+            committed: None,
         }
     }
 
+    /// Returns the instance.
+    #[must_use]
+    pub fn instance(&self) -> &str {
+        &self.instance
+    }
+
     /// Returns the values that are set on the connection.
     #[must_use]
     pub const fn values(&self) -> &collections::BTreeMap<Bytes, Bytes> {
@@ -63,15 +74,16 @@
         }
         let statement = command.is_statement();
         let mut rows = Vec::new();
+        self.committed = None;
         let result = self.result(state, command, &mut rows);
-        let Some(result) = result else {
-            return CommandEnd::Silence;
-        };
         if result.is_err() && self.work.is_some() {
             self.failed = true;
         }
+        let hanging = self
+            .committed
+            .filter(|at| state.commit_end(*at) != hanging_commit::CommitEnd::Acknowledged);
         let instance = state.instance(&self.instance);
-        if statement && instance.lose_answers > 0 {
+        if hanging.is_none() && statement && instance.lose_answers > 0 {
             instance.lose_answers -= 1;
             return CommandEnd::Silence;
         }
@@ -80,30 +92,34 @@
             (Some(_), true) => answers::TransactionState::Failed,
             (Some(_), false) => answers::TransactionState::Open,
         };
-        CommandEnd::Answer(answers::UpstreamAnswer {
+        let answer = answers::UpstreamAnswer {
             rows,
             result,
             state: session,
             position: Some(instance.applied_position()),
-        })
+        };
+        match hanging {
+            Some(position) => CommandEnd::Hanging(position, answer),
+            None => CommandEnd::Answer(answer),
+        }
     }
 
-    /// Returns the result of a command, or nothing if it hangs for ever.
+    /// Returns the result of a command.
     fn result(
         &mut self,
         state: &mut cluster_state::ClusterState,
         command: &command::UpstreamCommand,
         rows: &mut Vec<Bytes>,
-    ) -> Option<Result<Bytes, answers::StatementError>> {
+    ) -> Result<Bytes, answers::StatementError> {
         let own = Ok(Bytes::from_static(b"-"));
         let instance = state.instance(&self.instance);
-        Some(match command {
+        match command {
             command::UpstreamCommand::Begin { read_only, floor } => {
                 if lacks(instance, *floor) {
-                    return Some(cluster_state::error(answers::ErrorCode::Lagging));
+                    return cluster_state::error(answers::ErrorCode::Lagging);
                 }
                 if !read_only && !instance.primary {
-                    return Some(cluster_state::error(answers::ErrorCode::ReadOnly));
+                    return cluster_state::error(answers::ErrorCode::ReadOnly);
                 }
                 self.work = Some(OpenWork {
                     read_only: *read_only,
@@ -113,7 +129,7 @@
             }
             command::UpstreamCommand::Rollback => {
                 if self.work.take().is_none() {
-                    return Some(cluster_state::error(answers::ErrorCode::Malformed));
+                    return cluster_state::error(answers::ErrorCode::Malformed);
                 }
                 self.failed = false;
                 own
@@ -149,7 +165,7 @@
             }
             command::UpstreamCommand::Caller { id, floor, text } => {
                 let text = String::from_utf8_lossy(text).into_owned();
-                return self.statement(state, id, *floor, &text, rows);
+                self.statement(state, id, *floor, &text, rows)
             }
             command::UpstreamCommand::Execute {
                 id,
@@ -158,16 +174,16 @@
                 arguments,
             } => {
                 let Some(shape) = self.prepared.get(number) else {
-                    return Some(cluster_state::error(answers::ErrorCode::NoStatement));
+                    return cluster_state::error(answers::ErrorCode::NoStatement);
                 };
                 let word = match shape.access {
                     request::AccessKind::Read => "READ",
                     request::AccessKind::Write => "WRITE",
                 };
                 let text = format!("{word} {}", String::from_utf8_lossy(arguments));
-                return self.statement(state, id, *floor, &text, rows);
+                self.statement(state, id, *floor, &text, rows)
             }
-        })
+        }
     }
 
     fn statement(
@@ -177,14 +193,14 @@
         floor: Option<log_position::LogPosition>,
         text: &str,
         rows: &mut Vec<Bytes>,
-    ) -> Option<Result<Bytes, answers::StatementError>> {
+    ) -> Result<Bytes, answers::StatementError> {
         let instance = state.instance(&self.instance);
         if instance.busy > 0 {
             instance.busy -= 1;
-            return Some(cluster_state::error(answers::ErrorCode::Busy));
+            return cluster_state::error(answers::ErrorCode::Busy);
         }
         if lacks(instance, floor) {
-            return Some(cluster_state::error(answers::ErrorCode::Lagging));
+            return cluster_state::error(answers::ErrorCode::Lagging);
         }
         let plain = self.work.as_ref().is_some_and(|work| !work.read_only);
         let wrote = self
@@ -195,7 +211,7 @@
         let ends_reads = word == "COMMIT" && !wrote;
         let leads = instance.primary;
         if !leads && ((plain && !ends_reads) || (word == "WRITE" && self.work.is_none())) {
-            return Some(cluster_state::error(answers::ErrorCode::ReadOnly));
+            return cluster_state::error(answers::ErrorCode::ReadOnly);
         }
         instance.ran.push((id.clone(), text.to_owned()));
         instance
@@ -205,7 +221,7 @@
         match word {
             "READ" => {
                 rows.push(instance.read(rest.as_bytes()));
-                Some(Ok(signature))
+                Ok(signature)
             }
             "WRITE" => {
                 let (item, data) = rest.split_once(' ').unwrap_or((rest, ""));
@@ -215,22 +231,22 @@
                 );
                 if let Some(work) = &mut self.work {
                     work.changes.push(change);
-                    return Some(Ok(signature));
+                    return Ok(signature);
                 }
-                state.commit(&self.instance, id, vec![change])?;
-                Some(Ok(signature))
+                self.committed = Some(state.commit(&self.instance, id, vec![change]));
+                Ok(signature)
             }
             "COMMIT" => {
                 let Some(work) = self.work.take() else {
-                    return Some(cluster_state::error(answers::ErrorCode::Malformed));
+                    return cluster_state::error(answers::ErrorCode::Malformed);
                 };
                 self.failed = false;
                 if !work.changes.is_empty() {
-                    state.commit(&self.instance, id, work.changes)?;
+                    self.committed = Some(state.commit(&self.instance, id, work.changes));
                 }
-                Some(Ok(signature))
+                Ok(signature)
             }
-            _ => Some(cluster_state::error(answers::ErrorCode::Malformed)),
+            _ => cluster_state::error(answers::ErrorCode::Malformed),
         }
     }
 }
@@ -238,7 +254,7 @@
 /// Tells whether the log that reads see lacks a position. A position that is not in the log, as one
 /// that a promotion dropped, is lacking for good.
 fn lacks(
-    instance: &cluster_state::InstanceState,
+    instance: &instance_state::InstanceState,
     floor: Option<log_position::LogPosition>,
 ) -> bool {
     let Some(floor) = floor else {
@@ -252,7 +268,7 @@
             .any(|entry| entry.position == floor)
 }
 
-fn status_row(instance: &cluster_state::InstanceState) -> Bytes {
+fn status_row(instance: &instance_state::InstanceState) -> Bytes {
     let role = if instance.primary {
         "primary"
     } else {
--- a/standins/src/cluster/mod.rs
+++ b/standins/src/cluster/mod.rs
@@ -4,7 +4,12 @@
 //! socket. Faults are set on the state by the test.
 
 pub mod cluster_edge;
+pub mod cluster_link;
 pub mod cluster_state;
 pub mod connection_state;
+pub mod cut_table;
+pub mod hanging_commit;
+pub mod instance_state;
 pub mod peer_network;
+pub mod platform_state;
 pub mod test_caller;
--- a/standins/src/cluster/peer_network.rs
+++ b/standins/src/cluster/peer_network.rs
@@ -6,8 +6,11 @@
 use std::net;
 
 use persimmontack::link::{hello, server};
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::sync::mpsc;
 
+use crate::cluster::cut_table;
+
 /// Bytes that a connection holds in each direction.
 const BUFFER_BYTES: usize = 64 * 1024;
 
@@ -22,6 +25,8 @@
 /// How VMs of a test reach each other, without sockets.
 #[derive(Debug, Default)]
 pub struct PeerNetwork {
+    /// What the VMs cannot reach.
+    pub cuts: cut_table::CutTable,
     listening: cell::RefCell<collections::BTreeMap<net::SocketAddr, ListenState>>,
 }
 
@@ -80,4 +85,52 @@
         }));
         Ok(near)
     }
+
+    /// Connects a VM to `address`. A cut between the two VMs holds back what they send.
+    ///
+    /// # Errors
+    ///
+    /// Fails if nobody listens there, or if it was cut off.
+    pub async fn connect_from(
+        &self,
+        vm: &str,
+        address: net::SocketAddr,
+    ) -> io::Result<tokio::io::DuplexStream> {
+        let peer = self
+            .listening
+            .borrow()
+            .get(&address)
+            .map(|state| state.hello.vm.clone())
+            .unwrap_or_default();
+        let mut gate = self.cuts.gate(vm, cut_table::CutTarget::Vm(peer));
+        gate.pass().await;
+        let far = self.connect(address)?;
+        let (near, inner) = tokio::io::duplex(BUFFER_BYTES);
+        let (near_reader, near_writer) = tokio::io::split(inner);
+        let (far_reader, far_writer) = tokio::io::split(far);
+        let back = forward(far_reader, near_writer, gate.clone());
+        let forth = forward(near_reader, far_writer, gate);
+        tokio::spawn(async move {
+            tokio::select! {
+                () = back => {}
+                () = forth => {}
+            }
+        });
+        Ok(near)
+    }
+}
+
+/// Forwards bytes in one direction until the connection ends.
+async fn forward(
+    mut from: tokio::io::ReadHalf<tokio::io::DuplexStream>,
+    mut to: tokio::io::WriteHalf<tokio::io::DuplexStream>,
+    mut gate: cut_table::CutGate,
+) {
+    let mut bytes = vec![0; BUFFER_BYTES];
+    while let Ok(count @ 1..) = from.read(&mut bytes).await {
+        gate.pass().await;
+        if to.write_all(&bytes[..count]).await.is_err() {
+            return;
+        }
+    }
 }
--- a/tests/node_support/mod.rs
+++ b/tests/node_support/mod.rs
@@ -11,7 +11,7 @@
 use persimmontack::node::{
     answers, board, config, control, isolation, member, relay_caller, request, session_start, stop,
 };
-use standins::cluster::{cluster_edge, cluster_state, test_caller};
+use standins::cluster::{cluster_edge, cluster_state, instance_state, test_caller};
 
 /// Databases of the group: reads see everything, reads of a stated age, and read-your-writes.
 pub const LATEST: &str = "latest";
@@ -107,7 +107,7 @@
     let streams = edge.network.listen(own.address, &vm);
     let scene = Scene {
         edge: edge.clone(),
-        board: board::NodeBoard::new(edge.clone(), vm, own),
+        board: board::NodeBoard::new(edge.for_vm(&vm), vm, own),
         stop: Rc::default(),
     };
     tokio::task::spawn_local(control::follow(Rc::clone(&scene.board)));
@@ -171,7 +171,7 @@
     }
 
     /// Changes an instance.
-    pub fn instance(&self, name: &str, change: impl FnOnce(&mut cluster_state::InstanceState)) {
+    pub fn instance(&self, name: &str, change: impl FnOnce(&mut instance_state::InstanceState)) {
         self.edge.change(|state| change(state.instance(name)));
     }
 
