Add tests of commits that a successor lacks, seven of which fail

Callers are told of commits that the promoted upstream does not hold, or a fence goes that protects them. On the present code:

- A VM that knows of a decision tells a commit that only an upstream which joined since then has received.
- A VM that is cut off from the store does the same without knowing of it.
- A decision that has been overtaken lifts the fence of the later one.
- A decision without an answer from the platform lifts its fences before the call is carried out; c lacks the commits made in between.
- A decision compares the replicas of a list that is older than its number; d, which alone holds a commit, is left out.

The eighth test, a commit that the successor holds is told, passes: it guards the fix against refusing too much.

--- /dev/null
+++ b/tests/node_lost_commits.rs
@@ -0,0 +1,334 @@
+//! Ways in which the successor of a primary can lack a commit that a caller was told of.
+
+mod node_support;
+
+use std::time::Duration;
+
+use node_support as support;
+use node_support::told_writes::ToldWrites;
+use persimmontack::node::answers::ErrorCode;
+use persimmontack::node::edge::{ClaimPurpose, NodeEdge, RevisionNumber};
+use persimmontack::node::limits;
+use standins::cluster::cluster_edge::ClusterEdge;
+use standins::cluster::cluster_state;
+use standins::cluster::cut_table::CutTarget;
+
+/// Time from the answer to a call for a promotion until it takes effect.
+const EFFECT_DELAY: Duration = Duration::from_millis(600);
+/// Time after which a VM has seen a change of the store.
+const SEEN_AFTER: Duration = Duration::from_millis(200);
+/// Time within which a test looks for what must not happen.
+const LOOK_TIME: Duration = Duration::from_secs(5);
+const TICK: Duration = Duration::from_millis(5);
+
+/// Begins a decision of `vm`, as the store shows it.
+async fn claim(edge: &ClusterEdge, vm: &str) -> RevisionNumber {
+    let previous = edge.state.borrow().decision;
+    edge.claim_decision(cluster_state::GROUP, vm, previous, ClaimPurpose::Now)
+        .await
+        .expect("a number")
+}
+
+/// Has the platform promote an instance for `vm`.
+async fn promote(edge: &ClusterEdge, vm: &str, upstream: &str, decision: RevisionNumber) {
+    edge.change(|state| state.platform.promotion_delay = EFFECT_DELAY);
+    edge.promote(cluster_state::GROUP, upstream, vm, decision)
+        .await
+        .expect("an accepted call");
+}
+
+fn fence(edge: &ClusterEdge, names: &[&str]) {
+    edge.change(|state| {
+        for name in names {
+            let replica = state.instance(name);
+            replica.fenced = replica.term + 1;
+        }
+    });
+}
+
+fn is_fenced(edge: &ClusterEdge, name: &str) -> bool {
+    edge.state.borrow_mut().instance(name).fenced > 0
+}
+
+fn cut(edge: &ClusterEdge, vm: &str, targets: &[CutTarget]) {
+    for target in targets {
+        edge.network.cuts.cut(vm, target);
+    }
+}
+
+fn instances(names: &[&str]) -> Vec<CutTarget> {
+    names
+        .iter()
+        .map(|name| CutTarget::Instance((*name).to_owned()))
+        .collect()
+}
+
+/// Starts VM `number` and waits until it knows the primary and `members` VMs.
+async fn start(
+    edge: &ClusterEdge,
+    number: u16,
+    data_centre: &str,
+    members: usize,
+) -> support::Scene {
+    let scene = support::start(edge, number, data_centre);
+    scene
+        .until("the VM knows the primary and the others", |scene| {
+            let group = scene.board.group(cluster_state::GROUP);
+            scene.primary() == "a"
+                && group.newest().is_some()
+                && scene.board.members().len() == members
+        })
+        .await;
+    scene
+}
+
+/// Guards against the loss of incident inc1 on psalmhand-kgn: a VM takes the part of the list that
+/// it has seen for the whole group, and promotes a replica while the primary serves.
+#[test]
+fn a_vm_that_knows_a_part_of_the_list_promotes_nobody() {
+    support::block_on(async {
+        let edge = support::cluster(22);
+        edge.change(|state| state.platform.promotion_delay = EFFECT_DELAY);
+        let first = start(&edge, 1, "dc-a", 1).await;
+        let told = ToldWrites::default();
+        told.keep_writing(&first);
+        for name in ["a", "b", "c"] {
+            edge.change(|state| state.unlist(name));
+        }
+        first.pass(Duration::from_millis(500)).await;
+        let second = support::start(&edge, 2, "dc-b");
+        second.pass(Duration::from_millis(300)).await;
+        edge.change(|state| state.list("b"));
+        second.pass(Duration::from_secs(1)).await;
+        for name in ["a", "c"] {
+            edge.change(|state| state.list(name));
+        }
+        second.pass(LOOK_TIME).await;
+        assert!(told.count() > 10, "the primary serves");
+        told.check(&edge);
+        assert!(second.promotions().is_empty(), "{:?}", second.promotions());
+    });
+}
+
+/// Cuts VM 2, the first one in rank, off from everything for `length`, and returns the promotions
+/// that come of it.
+async fn promotions_of_cut(length: Duration) -> Vec<String> {
+    let edge = support::cluster(22);
+    let first = start(&edge, 1, "dc-a", 1).await;
+    let second = start(&edge, 2, "dc-b", 2).await;
+    let group = second.board.group(cluster_state::GROUP);
+    assert_eq!(second.board.decision_rank(&group), 0);
+    ToldWrites::default().keep_writing(&first);
+    second.pass(Duration::from_secs(3)).await;
+    let mut targets = instances(&["a", "b", "c"]);
+    targets.extend([CutTarget::Store, CutTarget::Vm("vm-1".to_owned())]);
+    cut(&edge, "vm-2", &targets);
+    second.pass(length).await;
+    assert!(second.promotions().is_empty(), "during the cut");
+    for target in &targets {
+        edge.network.cuts.heal("vm-2", target);
+    }
+    second.pass(LOOK_TIME).await;
+    second.promotions()
+}
+
+/// Guards against a VM that was cut off and then decides by what it saw during the cut, although
+/// the primary serves all the time.
+#[test]
+fn a_vm_that_was_cut_off_does_not_judge_by_what_it_saw_then() {
+    const CUT: Duration = Duration::from_secs(5);
+    const STEP: Duration = Duration::from_millis(25);
+    const CUTS: u32 = 80;
+    let mut wrong = Vec::new();
+    for step in 0..CUTS {
+        let length = CUT + STEP * step;
+        support::block_on(async {
+            let promotions = promotions_of_cut(length).await;
+            if !promotions.is_empty() {
+                wrong.push((length, promotions));
+            }
+        });
+    }
+    assert!(wrong.is_empty(), "promotions after cuts: {wrong:?}");
+}
+
+/// Guards against a caller that is told of a commit which only a replica that joined during a
+/// promotion has received: the successor lacks it.
+#[test]
+fn a_commit_acknowledged_by_an_upstream_that_joins_during_a_promotion_is_not_told() {
+    support::block_on(async {
+        let edge = support::cluster(22);
+        let scene = start(&edge, 1, "dc-a", 1).await;
+        let mut caller = scene.caller(support::LATEST).await;
+        let told = ToldWrites::default();
+        let decision = claim(&edge, "vm-2").await;
+        fence(&edge, &["b", "c"]);
+        promote(&edge, "vm-2", "b", decision).await;
+        scene.pass(SEEN_AFTER).await;
+        let join = async {
+            scene.pass(Duration::from_millis(300)).await;
+            assert!(scene.promotions().is_empty());
+            edge.change(|state| state.add_replica("d"));
+            assert_eq!(edge.state.borrow().acknowledged.len(), 1);
+        };
+        let (answer, ()) = tokio::join!(told.write(&mut caller, "late"), join);
+        scene.pass(Duration::from_secs(3)).await;
+        assert_eq!(scene.promotions(), ["b"]);
+        told.check(&edge);
+        assert_eq!(support::code(&answer), ErrorCode::Unknown);
+    });
+}
+
+/// Guards against callers that are told nothing of commits which the successor holds.
+#[test]
+fn a_commit_that_the_successor_holds_is_told_during_a_promotion() {
+    support::block_on(async {
+        let edge = support::cluster(22);
+        let scene = start(&edge, 1, "dc-a", 1).await;
+        let mut caller = scene.caller(support::LATEST).await;
+        let told = ToldWrites::default();
+        let decision = claim(&edge, "vm-2").await;
+        fence(&edge, &["c"]);
+        promote(&edge, "vm-2", "b", decision).await;
+        scene.pass(SEEN_AFTER).await;
+        let answer = told.write(&mut caller, "moved").await;
+        support::rows(&answer);
+        scene.until("b leads", |scene| scene.primary() == "b").await;
+        told.check(&edge);
+    });
+}
+
+/// Guards against a decision that lifts the fences of a later one: the replica would acknowledge
+/// commits after it was compared.
+#[test]
+fn a_decision_that_was_overtaken_lifts_no_fence() {
+    support::block_on(async {
+        let edge = support::cluster(22);
+        let scene = start(&edge, 1, "dc-b", 1).await;
+        let group = scene.board.group(cluster_state::GROUP);
+        scene.instance("c", |instance| instance.up = false);
+        scene.instance("a", |instance| instance.up = false);
+        scene
+            .until("b is fenced", |scene| is_fenced(&scene.edge, "b"))
+            .await;
+        assert!(group.is_deciding());
+        let later = claim(&edge, "vm-2").await;
+        assert!(later > group.decision());
+        fence(&edge, &["b"]);
+        scene
+            .until("the decision has ended", |_scene| !group.is_deciding())
+            .await;
+        for _tick in 0..100 {
+            assert!(
+                is_fenced(&edge, "b"),
+                "the fence of a later decision is gone"
+            );
+            scene.pass(TICK).await;
+        }
+    });
+}
+
+/// Guards against fences that are lifted while the platform may still carry out the call: replicas
+/// would acknowledge commits that the successor lacks.
+#[test]
+fn a_promotion_that_may_still_be_carried_out_keeps_its_fences() {
+    support::block_on(async {
+        let edge = support::cluster(22);
+        let scene = start(&edge, 1, "dc-b", 1).await;
+        let told = ToldWrites::default();
+        told.keep_writing(&scene);
+        scene.pass(Duration::from_secs(1)).await;
+        assert!(told.count() > 10);
+        edge.change(|state| {
+            state.lose_promotions = u32::MAX;
+            state.platform.lost_call_delay = Duration::from_secs(4);
+            state.instance("a").up = false;
+        });
+        scene
+            .until("the platform is called", |scene| {
+                scene.edge.state.borrow().lose_promotions < u32::MAX
+            })
+            .await;
+        assert!(is_fenced(&edge, "b") && is_fenced(&edge, "c"));
+        scene.pass(Duration::from_secs(1)).await;
+        // The link from the primary to one replica is slow from now on.
+        edge.change(|state| {
+            state.instance("c").receives = false;
+            state.instance("a").up = true;
+        });
+        let mut lifted = false;
+        let limit = tokio::time::Instant::now() + Duration::from_secs(20);
+        while scene.promotions().is_empty() {
+            assert!(tokio::time::Instant::now() < limit, "no promotion");
+            lifted |= !is_fenced(&edge, "b") || !is_fenced(&edge, "c");
+            scene.pass(TICK).await;
+        }
+        scene.pass(Duration::from_secs(3)).await;
+        told.check(&edge);
+        assert!(!lifted, "a fence was lifted before the promotion");
+    });
+}
+
+/// Guards against a VM that cannot know of a decision, and tells a commit which only a replica
+/// outside its list has received.
+#[test]
+fn a_vm_that_may_have_missed_a_decision_does_not_tell_commits_of_an_unlisted_replica() {
+    support::block_on(async {
+        let edge = support::cluster(22);
+        edge.change(|state| state.platform.promotion_delay = EFFECT_DELAY);
+        let first = start(&edge, 1, "dc-a", 1).await;
+        let second = start(&edge, 2, "dc-b", 2).await;
+        let mut caller = first.caller(support::LATEST).await;
+        let told = ToldWrites::default();
+        support::rows(&told.write(&mut caller, "before").await);
+        let mut targets = instances(&["b", "c", "d"]);
+        targets.extend([CutTarget::Store, CutTarget::Vm("vm-2".to_owned())]);
+        cut(&edge, "vm-1", &targets);
+        first.pass(Duration::from_secs(1)).await;
+        cut(&edge, "vm-2", &instances(&["a"]));
+        second
+            .until("the platform is called", |scene| {
+                !scene.edge.state.borrow().platform.accepted.is_empty()
+            })
+            .await;
+        let join = async {
+            first.pass(Duration::from_millis(200)).await;
+            assert!(first.promotions().is_empty());
+            edge.change(|state| state.add_replica("d"));
+        };
+        tokio::join!(told.write(&mut caller, "late"), join);
+        first.pass(Duration::from_secs(3)).await;
+        assert_eq!(first.promotions().len(), 1);
+        told.check(&edge);
+    });
+}
+
+/// Guards against a decision by a list that is older than its number: the replica that it lacks
+/// may be the only one that holds a commit.
+#[test]
+fn a_replica_that_joined_before_a_decision_is_compared_as_well() {
+    support::block_on(async {
+        let edge = support::cluster(22);
+        let first = start(&edge, 1, "dc-b", 1).await;
+        let second = start(&edge, 2, "dc-a", 2).await;
+        let told = ToldWrites::default();
+        let mut caller = second.caller(support::LATEST).await;
+        edge.change(|state| {
+            state.instance("b").receives = false;
+            state.instance("c").receives = false;
+            state.add_replica("d");
+        });
+        support::rows(&told.write(&mut caller, "only d has it").await);
+        edge.change(|state| {
+            state.watch_delay = limits::MONITOR_TICK;
+            state.listed_by_claim = Some("d".to_owned());
+            state.instance("a").up = false;
+        });
+        first
+            .until("another leads", |scene| !scene.promotions().is_empty())
+            .await;
+        first.pass(Duration::from_secs(3)).await;
+        told.check(&edge);
+        assert_eq!(first.promotions(), ["d"]);
+    });
+}
--- a/tests/node_support/mod.rs
+++ b/tests/node_support/mod.rs
@@ -3,6 +3,8 @@
 
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
+pub mod told_writes;
+
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -124,12 +126,22 @@
     scene
 }
 
+/// Opens a session at a VM.
+pub fn open(
+    board: &Rc<board::NodeBoard<cluster_edge::ClusterEdge>>,
+    stop: &Rc<stop::StopState>,
+    database: &str,
+) -> test_caller::TestCaller {
+    let (caller, link) = test_caller::connect(database);
+    let serve = session_start::serve(Rc::clone(board), link, Rc::clone(stop));
+    tokio::task::spawn_local(serve);
+    caller
+}
+
 impl Scene {
     /// Opens a session.
     pub async fn caller(&self, database: &str) -> test_caller::TestCaller {
-        let (mut caller, link) = test_caller::connect(database);
-        let serve = session_start::serve(Rc::clone(&self.board), link, Rc::clone(&self.stop));
-        tokio::task::spawn_local(serve);
+        let mut caller = open(&self.board, &self.stop, database);
         assert_eq!(
             caller.reply().await,
             Some(test_caller::CallerReply::Welcome)
--- /dev/null
+++ b/tests/node_support/told_writes.rs
@@ -0,0 +1,88 @@
+//! [`ToldWrites`]: the writes that callers were told to be committed.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use persimmontack::node::answers::CallerAnswer;
+use standins::cluster::cluster_edge::ClusterEdge;
+use standins::cluster::test_caller::{CallerReply, TestCaller};
+
+use crate::node_support as support;
+
+/// Pause of a writer between two writes.
+const WRITE_PAUSE: Duration = Duration::from_millis(50);
+
+/// The data of the writes that callers were told to be committed. Each write has its own data.
+#[derive(Clone, Default)]
+pub struct ToldWrites {
+    data: Rc<RefCell<Vec<String>>>,
+}
+
+impl ToldWrites {
+    /// Writes `data`, and returns what the caller is told.
+    pub async fn write(&self, caller: &mut TestCaller, data: &str) -> CallerAnswer {
+        let answer = caller
+            .ask(support::write(), &format!("WRITE item {data}"))
+            .await;
+        self.note(data, &answer);
+        answer
+    }
+
+    fn note(&self, data: &str, answer: &CallerAnswer) {
+        if answer.result.is_ok() {
+            self.data.borrow_mut().push(data.to_owned());
+        }
+    }
+
+    /// Writes from now on, over a new session whenever one ends.
+    pub fn keep_writing(&self, scene: &support::Scene) {
+        let told = self.clone();
+        let (board, stop) = (Rc::clone(&scene.board), Rc::clone(&scene.stop));
+        tokio::task::spawn_local(async move {
+            let mut caller = None;
+            for number in 0_u64.. {
+                let data = format!("{}-{number}", board.node);
+                let mut open = match caller.take() {
+                    Some(open) => open,
+                    None => support::open(&board, &stop, support::LATEST),
+                };
+                open.send(support::write(), &format!("WRITE item {data}"));
+                while let Some(reply) = open.reply().await {
+                    if let CallerReply::Answer(answer) = reply {
+                        told.note(&data, &answer);
+                        caller = Some(open);
+                        break;
+                    }
+                }
+                tokio::time::sleep(WRITE_PAUSE).await;
+            }
+        });
+    }
+
+    /// Returns how many writes were told to be committed.
+    pub fn count(&self) -> usize {
+        self.data.borrow().len()
+    }
+
+    /// Fails if the present leader lacks a write that was told to be committed.
+    pub fn check(&self, edge: &ClusterEdge) {
+        let state = edge.state.borrow();
+        let leader = state.leader().expect("a leader");
+        let log = &state.instances[leader].log;
+        let held: Vec<_> = log
+            .iter()
+            .flat_map(|entry| &entry.changes)
+            .map(|(_, data)| data.as_ref())
+            .collect();
+        let data = self.data.borrow();
+        let lost: Vec<_> = data
+            .iter()
+            .filter(|data| !held.contains(&data.as_bytes()))
+            .collect();
+        assert!(
+            lost.is_empty(),
+            "callers were told of commits that {leader} lacks: {lost:?}"
+        );
+    }
+}
