--- a/src/keeper/daemon.rs
+++ b/src/keeper/daemon.rs
@@ -134,7 +134,8 @@
                     | stream_kind::StreamKind::Feed
                     | stream_kind::StreamKind::Observe
                     | stream_kind::StreamKind::Session
-                    | stream_kind::StreamKind::Reach => {
+                    | stream_kind::StreamKind::Reach
+                    | stream_kind::StreamKind::Lead => {
                         stream.writer.abort();
                         Ok(())
                     }
--- a/src/link/stream_kind.rs
+++ b/src/link/stream_kind.rs
@@ -17,6 +17,8 @@
     Session,
     /// Whether a VM is connected to other data centres. Node to node.
     Reach,
+    /// A decision on the primary of a group that has begun. Node to node.
+    Lead,
     /// Operators' requests. `persimmonctl` to a keeper or an entry.
     Control,
 }
@@ -33,6 +35,7 @@
             Self::Gossip => "/gossip",
             Self::Session => "/session",
             Self::Reach => "/reach",
+            Self::Lead => "/lead",
             Self::Control => "/control",
         }
     }
@@ -48,6 +51,7 @@
             Self::Gossip,
             Self::Session,
             Self::Reach,
+            Self::Lead,
             Self::Control,
         ]
         .into_iter()
--- /dev/null
+++ b/src/node/acknowledgement.rs
@@ -0,0 +1,173 @@
+//! Decides whether a commit that an upstream has acknowledged is kept whoever leads next.
+//!
+//! An upstream acknowledges a commit that one replica has received. While the primary is being
+//! replaced, that replica may be one that the successor is not compared with: it joined later, or
+//! receives again. So a commit of a term that may be ending counts once the successor holds it. See
+//! `docs/node.md`, "Acknowledgements while the primary changes".
+
+use std::rc;
+
+use futures::future;
+use tokio::time::Instant;
+
+use crate::model::{ids, log_position};
+use crate::node::{board, edge, group, journal, limits, pool, probe, request};
+
+/// A commit that an upstream has acknowledged.
+#[derive(Clone, Debug)]
+pub struct AcknowledgedCommit {
+    /// The caller's request.
+    pub request: request::CallerRequest,
+    /// The group.
+    pub group: rc::Rc<group::GroupState>,
+    /// The upstream that acknowledged it.
+    pub upstream: ids::UpstreamId,
+    /// Its position.
+    pub position: log_position::LogPosition,
+}
+
+/// Why an acknowledgement does not count by itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum CommitDoubt {
+    /// The primary is being replaced by this upstream, or by one that is not known yet.
+    Replaced(Option<ids::UpstreamId>),
+    /// This VM may have missed that the primary is being replaced.
+    Uninformed,
+}
+
+/// Completes once the commit is known to be kept.
+///
+/// # Errors
+///
+/// Fails if the commit is dropped, and does not complete while that is unknown.
+pub async fn await_kept<E: edge::NodeEdge>(
+    board: &board::NodeBoard<E>,
+    commit: &AcknowledgedCommit,
+) -> Result<(), String> {
+    let started = Instant::now();
+    let mut held = false;
+    let mut lacking_since = None;
+    let result = loop {
+        let Some(doubt) = doubt(board, commit) else {
+            break Ok(());
+        };
+        if !std::mem::replace(&mut held, true) {
+            report(commit, "commit_held", &format!("{doubt:?}"), started);
+        }
+        let kept = look(board, commit, &doubt).await;
+        if kept == Some(true) {
+            commit.group.note_kept(commit.position);
+            break Ok(());
+        }
+        let leads = matches!(&doubt, CommitDoubt::Replaced(Some(successor))
+            if commit.group.is_primary(successor));
+        if kept == Some(false) && leads {
+            let since: Instant = *lacking_since.get_or_insert_with(Instant::now);
+            if since.elapsed() > limits::HOLD_PATIENCE {
+                break Err("the new primary lacks the commit".to_owned());
+            }
+        }
+        tokio::select! {
+            () = board.changed.notified() => {}
+            () = tokio::time::sleep(limits::HOLD_POLL) => {}
+        }
+    };
+    if held {
+        let outcome = if result.is_ok() { "kept" } else { "dropped" };
+        report(commit, "commit_settled", outcome, started);
+        metrics::counter!("persimmontack_commits_held_total", "outcome" => outcome).increment(1);
+    }
+    result
+}
+
+/// Looks for the commit where it has to be. Returns nothing if that is not known.
+async fn look<E: edge::NodeEdge>(
+    board: &board::NodeBoard<E>,
+    commit: &AcknowledgedCommit,
+    doubt: &CommitDoubt,
+) -> Option<bool> {
+    let guard = LookGuard::begin(&commit.group)?;
+    let kept = match doubt {
+        CommitDoubt::Replaced(Some(successor)) => {
+            let pool = board.pool(successor)?;
+            probe::ask_holds(&pool, commit.position).await
+        }
+        CommitDoubt::Replaced(None) => None,
+        CommitDoubt::Uninformed => ask_replicas(board, commit).await.then_some(true),
+    };
+    drop(guard);
+    kept
+}
+
+/// Held by the one commit that is being looked for.
+struct LookGuard<'a> {
+    group: &'a group::GroupState,
+}
+
+impl<'a> LookGuard<'a> {
+    fn begin(group: &'a group::GroupState) -> Option<Self> {
+        (!group.set_looking(true)).then_some(Self { group })
+    }
+}
+
+impl Drop for LookGuard<'_> {
+    fn drop(&mut self) {
+        self.group.set_looking(false);
+    }
+}
+
+fn doubt<E: edge::NodeEdge>(
+    board: &board::NodeBoard<E>,
+    commit: &AcknowledgedCommit,
+) -> Option<CommitDoubt> {
+    let group = &commit.group;
+    if group.is_kept(commit.position) {
+        return None;
+    }
+    let leader = group
+        .primary()
+        .filter(|primary| *primary != commit.upstream);
+    let change = group
+        .open_change(board::steady_now())
+        .filter(|change| change.threatens(commit.position));
+    if let Some(change) = change {
+        return Some(CommitDoubt::Replaced(change.successor.or(leader)));
+    }
+    if !group.is_primary(&commit.upstream) {
+        return Some(CommitDoubt::Replaced(leader));
+    }
+    board
+        .isolation
+        .is_uninformed(board.edge.boot_time())
+        .then_some(CommitDoubt::Uninformed)
+}
+
+/// Asks the replicas in the list whether one of them holds the commit. Whoever replaces the primary
+/// compares all of them.
+async fn ask_replicas<E: edge::NodeEdge>(
+    board: &board::NodeBoard<E>,
+    commit: &AcknowledgedCommit,
+) -> bool {
+    let pools: Vec<rc::Rc<pool::UpstreamPool<E>>> = board.pools_of(&commit.group.group);
+    let asked = pools
+        .iter()
+        .filter(|pool| *pool.upstream() != commit.upstream && !pool.is_suspect())
+        .map(|pool| probe::ask_holds(pool, commit.position));
+    let answers = future::join_all(asked).await;
+    answers.contains(&Some(true))
+}
+
+fn report(commit: &AcknowledgedCommit, event: &'static str, what: &str, started: Instant) {
+    journal::info(
+        event,
+        &[
+            ("request", &commit.request.id_text()),
+            ("group", &commit.group.group),
+            ("upstream", &commit.upstream),
+            ("position", &commit.position),
+            ("decision", &commit.group.decision()),
+            ("what", &what),
+            ("elapsed_ms", &started.elapsed().as_millis()),
+        ],
+    );
+}
--- a/src/node/board.rs
+++ b/src/node/board.rs
@@ -50,6 +50,10 @@
     pub changed: Notify,
     /// Whether the store answered last time.
     pub store_up: cell::Cell<bool>,
+    /// Has the tables brought up to date with the store at once.
+    pub refresh: Notify,
+    /// Revision of the store that the tables show.
+    pub revision: cell::Cell<edge::RevisionNumber>,
     /// When the store was first read, by the steady clock.
     pub listed_since: cell::Cell<Option<time::Duration>>,
     /// Sessions that are open.
@@ -74,6 +78,8 @@
             budget: cell::RefCell::default(),
             changed: Notify::new(),
             store_up: cell::Cell::default(),
+            refresh: Notify::new(),
+            revision: cell::Cell::default(),
             listed_since: cell::Cell::default(),
             sessions: cell::Cell::default(),
         })
@@ -217,6 +223,30 @@
             .collect()
     }
 
+    /// Waits until the tables show this revision of the store. Returns whether they do in time.
+    pub async fn await_revision(&self, revision: edge::RevisionNumber) -> bool {
+        let shown = async {
+            self.refresh.notify_one();
+            while self.revision.get() < revision {
+                tokio::select! {
+                    () = self.changed.notified() => {}
+                    () = tokio::time::sleep(limits::ROUTE_PAUSE) => self.refresh.notify_one(),
+                }
+            }
+        };
+        tokio::time::timeout(limits::LIST_TIMEOUT, shown)
+            .await
+            .is_ok()
+    }
+
+    /// Tells whether the list has been followed for long enough to know every upstream. Entries
+    /// that lapse while the store is away come back a while after it.
+    #[must_use]
+    pub fn knows_all(&self) -> bool {
+        self.list_age()
+            .is_some_and(|age| age >= limits::STORE_RETURN)
+    }
+
     /// Returns for how long the list of upstreams has been followed.
     #[must_use]
     pub fn list_age(&self) -> Option<time::Duration> {
--- /dev/null
+++ b/src/node/claims.rs
@@ -0,0 +1,139 @@
+//! Numbers of decisions, which come from the store, and the end of a decision.
+
+use std::rc;
+
+use crate::node::{board, edge, group, journal, lead_change, limits};
+
+/// Why there is no number for a decision.
+#[derive(Clone, Debug, PartialEq, Eq, derive_more::Display)]
+pub enum ClaimError {
+    /// Another VM decides.
+    #[display("another VM decides")]
+    Overtaken,
+    /// The store gave none.
+    #[display("store: {_0}")]
+    Store(edge::StoreError),
+}
+
+async fn claim<E: edge::NodeEdge>(
+    board: &board::NodeBoard<E>,
+    group: &group::GroupState,
+    previous: edge::RevisionNumber,
+    purpose: &edge::ClaimPurpose,
+) -> Result<edge::RevisionNumber, edge::StoreError> {
+    let claim = board
+        .edge
+        .claim_decision(&group.group, &board.node, previous, purpose);
+    let number = tokio::time::timeout(limits::CLAIM_TIMEOUT, claim)
+        .await
+        .unwrap_or_else(|_elapsed| Err(edge::StoreError::NoAnswer("timeout".to_owned())))?;
+    group.record_claim(number, purpose, board::steady_now());
+    Ok(number)
+}
+
+/// Takes the number of a decision from the store, or the one in reserve while the store is away.
+///
+/// With a number in reserve, this VM may decide beside another one that reaches the store. Both
+/// compare the same fenced replicas and choose the same successor, so a failover may use it; a
+/// planned move, whose target depends on the moment, may not.
+///
+/// # Errors
+///
+/// Fails if another VM has taken a number, or if the store gives none and none is in reserve.
+pub async fn take_number<E: edge::NodeEdge>(
+    board: &board::NodeBoard<E>,
+    group: &group::GroupState,
+    change: &lead_change::LeadChange,
+) -> Result<edge::RevisionNumber, ClaimError> {
+    let purpose = edge::ClaimPurpose::Now(change.clone());
+    let error = match claim(board, group, group.decision(), &purpose).await {
+        Ok(number) => return Ok(number),
+        Err(edge::StoreError::Conflict) => return Err(ClaimError::Overtaken),
+        Err(error) => error,
+    };
+    let informed = !board.isolation.is_uninformed(board.edge.boot_time());
+    let usable = informed && change.successor.is_none();
+    let Some(number) = usable.then(|| group.take_reserve()).flatten() else {
+        return Err(ClaimError::Store(error));
+    };
+    journal::warn(
+        "reserve_used",
+        &[
+            ("group", &group.group),
+            ("decision", &number),
+            ("reason", &error),
+        ],
+    );
+    group.open_decision(number, change.clone(), board::steady_now());
+    Ok(number)
+}
+
+/// Takes a number in reserve for a failover that may come while the store is away, unless one has
+/// been taken after `previous`.
+pub async fn reserve_number<E: edge::NodeEdge>(
+    board: &board::NodeBoard<E>,
+    group: &group::GroupState,
+    previous: edge::RevisionNumber,
+) {
+    match claim(board, group, previous, &edge::ClaimPurpose::Reserve).await {
+        Ok(number) => {
+            group.keep_reserve(number);
+            journal::info(
+                "number_reserved",
+                &[("group", &group.group), ("decision", &number)],
+            );
+        }
+        Err(error) => journal::info(
+            "number_not_reserved",
+            &[("group", &group.group), ("reason", &error)],
+        ),
+    }
+}
+
+/// Tells all VMs that a decision is over, unless a later number has been taken.
+///
+/// # Errors
+///
+/// Fails if a later number has been taken, or if the store does not answer.
+pub async fn end_decision<E: edge::NodeEdge>(
+    board: &board::NodeBoard<E>,
+    group: &group::GroupState,
+    number: edge::RevisionNumber,
+) -> Result<(), edge::StoreError> {
+    if group.decision() != number {
+        return Err(edge::StoreError::Conflict);
+    }
+    let ended = claim(board, group, number, &edge::ClaimPurpose::Ended).await?;
+    journal::info(
+        "decision_closed",
+        &[
+            ("group", &group.group),
+            ("decision", &number),
+            ("number", &ended),
+        ],
+    );
+    board.changed.notify_waiters();
+    Ok(())
+}
+
+/// Goes on telling that a decision is over until the store answers.
+pub fn keep_ending<E: edge::NodeEdge>(
+    board: &rc::Rc<board::NodeBoard<E>>,
+    group: &rc::Rc<group::GroupState>,
+    number: edge::RevisionNumber,
+) {
+    let board = rc::Rc::clone(board);
+    let group = rc::Rc::clone(group);
+    tokio::task::spawn_local(async move {
+        loop {
+            match end_decision(&board, &group, number).await {
+                Ok(()) | Err(edge::StoreError::Conflict) => return,
+                Err(error) => journal::debug(
+                    "decision_not_closed",
+                    &[("group", &group.group), ("reason", &error)],
+                ),
+            }
+            tokio::time::sleep(limits::STORE_PAUSE).await;
+        }
+    });
+}
--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -2,11 +2,12 @@
 
 use std::collections;
 use std::rc;
+use std::time;
 
 use tokio::time::Instant;
 
 use crate::model::ids;
-use crate::node::{board, edge, journal, limits, monitor, stop};
+use crate::node::{board, claims, edge, group, journal, limits, monitor, stop};
 
 /// Follows the store as long as the node runs.
 pub async fn follow<E: edge::NodeEdge>(board: rc::Rc<board::NodeBoard<E>>) {
@@ -16,11 +17,13 @@
         vanished: collections::BTreeMap::new(),
     };
     loop {
+        let asked = tables.board.edge.boot_time();
         match tables.board.edge.read_all().await {
             Ok(all) => {
                 tables.note_store(None);
                 tables.replace(&all);
                 tables.note_listed();
+                tables.note_revision(all.revision, asked);
                 tables.watch_from(all.revision).await;
             }
             Err(error) => {
@@ -48,20 +51,36 @@
 impl<E: edge::NodeEdge> TableKeeper<E> {
     /// Applies changes until the history is lost.
     async fn watch_from(&mut self, mut revision: edge::RevisionNumber) {
+        let board = rc::Rc::clone(&self.board);
+        let mut wait = self.watch_wait();
         loop {
-            let wait = self.watch_wait();
-            let board = rc::Rc::clone(&self.board);
             let started = Instant::now();
-            match board.edge.watch(revision, wait).await {
+            let asked = board.edge.boot_time();
+            let watch = board.edge.watch(revision, wait);
+            // A watch that waits may do so on a connection that has gone silent.
+            let result = tokio::select! {
+                result = watch => result,
+                () = board.refresh.notified(), if !wait.is_zero() => {
+                    wait = time::Duration::ZERO;
+                    continue;
+                }
+            };
+            match result {
                 Ok(changes) => {
                     self.note_store(None);
                     revision = changes.revision.max(revision);
                     for change in changes.changes {
                         self.apply(change);
                     }
+                    self.note_revision(revision, asked);
                     let interval = limits::WATCH_INTERVAL * self.board.member_count();
                     let interval = interval.min(limits::MAX_WATCH_INTERVAL);
-                    tokio::time::sleep_until(started + interval).await;
+                    tokio::select! {
+                        () = tokio::time::sleep_until(started + interval) => {
+                            wait = self.watch_wait();
+                        }
+                        () = board.refresh.notified() => wait = time::Duration::ZERO,
+                    }
                 }
                 Err(edge::StoreError::HistoryGone) => {
                     journal::warn("store_history_gone", &[("revision", &revision)]);
@@ -70,13 +89,26 @@
                 Err(error) => {
                     self.note_store(Some(&error));
                     self.pause().await;
+                    wait = self.watch_wait();
                 }
             }
             self.drop_vanished();
         }
     }
 
-    fn watch_wait(&self) -> std::time::Duration {
+    /// Notes that the tables show a revision, by a call that began at `asked`.
+    fn note_revision(&self, revision: edge::RevisionNumber, asked: time::Duration) {
+        self.board.revision.set(revision);
+        if self.board.isolation.note_answer(asked) {
+            let now = board::steady_now();
+            for pool in self.board.pools() {
+                pool.note(|health| health.forget_silence(now));
+            }
+        }
+        self.board.changed.notify_waiters();
+    }
+
+    fn watch_wait(&self) -> time::Duration {
         let now = Instant::now();
         self.vanished
             .values()
@@ -182,11 +214,30 @@
                         ],
                     );
                 }
-                group.record_claim(claim.number, claim.purpose, board::steady_now());
+                let is_own = claim.vm == self.board.node && claim.number > group.decision();
+                group.record_claim(claim.number, &claim.purpose, board::steady_now());
+                if is_own && matches!(claim.purpose, edge::ClaimPurpose::Now(_)) {
+                    self.end_abandoned(&group, claim.number);
+                }
+                self.board.changed.notify_waiters();
             }
         }
     }
 
+    /// Ends a decision that this VM does not work on: its number came after it was given up, or it
+    /// is from before a restart. A promotion may still be on its way in that case.
+    fn end_abandoned(&self, group: &rc::Rc<group::GroupState>, number: edge::RevisionNumber) {
+        let board = rc::Rc::clone(&self.board);
+        let group = rc::Rc::clone(group);
+        let restarted = !board.knows_all();
+        tokio::task::spawn_local(async move {
+            if restarted {
+                tokio::time::sleep(limits::DECISION_EXPIRY).await;
+            }
+            claims::keep_ending(&board, &group, number);
+        });
+    }
+
     fn vanish(&mut self, what: Vanished) {
         journal::info("entry_vanished", &[("entry", &format!("{what:?}"))]);
         self.vanished
--- /dev/null
+++ b/src/node/decision.rs
@@ -0,0 +1,392 @@
+//! [`Decision`]: one decision on the primary of a group, from its number to the promotion.
+
+use std::rc;
+
+use futures::future;
+use tokio::time::Instant;
+
+use crate::model::{ids, log_position};
+use crate::node::{
+    board, command, edge, group, journal, lead_change, limits, monitor, notices, pool, probe,
+    promotion,
+};
+
+/// How a decision ended.
+#[derive(Clone, Debug, PartialEq, Eq, derive_more::Display)]
+pub enum DecisionEnd {
+    /// The group has this primary.
+    #[display("promoted {_0}")]
+    Promoted(ids::UpstreamId),
+    /// The group has a primary that answers, so nothing was done.
+    #[display("kept {_0}")]
+    Kept(ids::UpstreamId),
+    /// Another VM decides.
+    #[display("another VM decides")]
+    Overtaken,
+    /// A later term is known than the one that the decision ends.
+    #[display("a later term is known")]
+    Outdated,
+    /// The decision was given up, for this reason, before the platform was asked for anything.
+    #[display("gave up: {_0}")]
+    GaveUp(String),
+    /// The platform was asked for a promotion that has not taken effect, but still may.
+    #[display("unsettled: {_0}")]
+    Unsettled(String),
+}
+
+/// One decision with its number.
+#[derive(Debug)]
+pub struct Decision<'a, E: edge::NodeEdge> {
+    board: &'a rc::Rc<board::NodeBoard<E>>,
+    group: &'a rc::Rc<group::GroupState>,
+    number: edge::RevisionNumber,
+    change: lead_change::LeadChange,
+    limit: Instant,
+    term: ids::TermNumber,
+    /// Upstreams that it has fenced.
+    pub fenced: Vec<rc::Rc<pool::UpstreamPool<E>>>,
+    /// Completes with the highest number that the other hosts know, once they know of this one.
+    told: Option<tokio::task::JoinHandle<edge::RevisionNumber>>,
+}
+
+impl<'a, E: edge::NodeEdge> Decision<'a, E> {
+    /// Begins a decision, and tells the other hosts of the group.
+    pub fn begin(
+        board: &'a rc::Rc<board::NodeBoard<E>>,
+        group: &'a rc::Rc<group::GroupState>,
+        number: edge::RevisionNumber,
+        change: lead_change::LeadChange,
+        limit: Instant,
+    ) -> Self {
+        let notice = lead_change::LeadNotice {
+            group: group.group.clone(),
+            number,
+            change: change.clone(),
+        };
+        let told = notices::tell_hosts(rc::Rc::clone(board), notice);
+        Self {
+            board,
+            group,
+            number,
+            limit,
+            term: change.ends + 1,
+            change,
+            fenced: Vec::new(),
+            told: Some(tokio::task::spawn_local(told)),
+        }
+    }
+
+    /// Logs what this VM knows as it decides.
+    pub fn report_begun(&self, trouble: monitor::GroupTrouble) {
+        let pools = self.board.pools_of(&self.group.group);
+        let listed: Vec<_> = pools.iter().map(|pool| pool.upstream().as_str()).collect();
+        let age = self.board.list_age().unwrap_or_default();
+        let primary = self.group.primary();
+        journal::warn(
+            "decision_begun",
+            &[
+                ("group", &self.group.group),
+                ("decision", &self.number),
+                ("trouble", &trouble),
+                ("primary", &primary.as_deref().unwrap_or("-")),
+                ("ends", &self.change.ends),
+                ("acknowledged", &position_text(self.group.acknowledged())),
+                ("listed", &listed.join(",")),
+                ("list_age_ms", &age.as_millis()),
+            ],
+        );
+    }
+
+    /// Carries the decision out.
+    pub async fn carry_out(&mut self, trouble: monitor::GroupTrouble) -> DecisionEnd {
+        // Upstreams that joined before the number was taken have to be compared as well.
+        if self.board.store_up.get() && !self.board.await_revision(self.number).await {
+            return DecisionEnd::GaveUp("the list is not up to date".to_owned());
+        }
+        let choice = match (trouble, &self.change.successor) {
+            (monitor::GroupTrouble::Leaving, Some(target)) => {
+                let target = target.clone();
+                self.move_lead(target).await
+            }
+            _ => self.fail_over(trouble).await,
+        };
+        match choice {
+            Ok(upstream) if self.change.ends + 1 < self.term => {
+                journal::info("decision_outdated", &[("upstream", &upstream)]);
+                DecisionEnd::Outdated
+            }
+            Ok(upstream) => self.promote(upstream).await,
+            Err(end) => end,
+        }
+    }
+
+    /// Returns the upstream to promote once every acknowledged commit is known to be in its log.
+    async fn fail_over(
+        &mut self,
+        trouble: monitor::GroupTrouble,
+    ) -> Result<ids::UpstreamId, DecisionEnd> {
+        if trouble != monitor::GroupTrouble::Stalled
+            && let Some(kept) = self.find_primary().await
+        {
+            return Err(DecisionEnd::Kept(kept));
+        }
+        loop {
+            let old = self.group.primary();
+            let candidates = self.fence_all_but(old.as_deref(), None).await;
+            let choice = promotion::choose_failover(&candidates, self.group.acknowledged());
+            self.report(&choice, &candidates, None);
+            match choice {
+                promotion::PromotionChoice::Promote(upstream) => return Ok(upstream),
+                promotion::PromotionChoice::Nothing => {
+                    return Err(DecisionEnd::GaveUp("nothing to promote".to_owned()));
+                }
+                promotion::PromotionChoice::Await(upstream)
+                | promotion::PromotionChoice::CatchUp(upstream) => {
+                    let stalled = trouble == monitor::GroupTrouble::Stalled;
+                    if let Some(kept) = old
+                        && !stalled
+                        && self.board.has_primary(self.group)
+                    {
+                        return Err(DecisionEnd::Kept(kept));
+                    }
+                    self.pause(|| format!("{upstream} is missing or behind"))
+                        .await?;
+                }
+            }
+        }
+    }
+
+    /// Waits a moment for what is missing, unless the time is up.
+    async fn pause(&self, missing: impl FnOnce() -> String) -> Result<(), DecisionEnd> {
+        if Instant::now() >= self.limit {
+            return Err(DecisionEnd::GaveUp(missing()));
+        }
+        tokio::time::sleep(limits::MONITOR_TICK).await;
+        Ok(())
+    }
+
+    /// Returns `target` once it alone can acknowledge and holds what the primary has committed.
+    async fn move_lead(&mut self, target: ids::UpstreamId) -> Result<ids::UpstreamId, DecisionEnd> {
+        let Some(old) = self.group.primary() else {
+            return Err(DecisionEnd::GaveUp("the primary is gone".to_owned()));
+        };
+        loop {
+            let mut candidates = self.fence_all_but(Some(&old), Some(&target)).await;
+            let Some(head) = self.head(&old).await else {
+                let reason = "the primary stopped answering".to_owned();
+                return Err(DecisionEnd::GaveUp(reason));
+            };
+            if let Some(pool) = self.board.pool(&target)
+                && let Some(status) =
+                    probe::ask_status(&pool, &command::UpstreamCommand::Status).await
+            {
+                for candidate in &mut candidates {
+                    if candidate.upstream == target {
+                        candidate.received = Some(status.received);
+                    }
+                }
+            }
+            let choice = promotion::choose_move(&candidates, &target, head);
+            self.report(&choice, &candidates, Some(head));
+            match choice {
+                promotion::PromotionChoice::Promote(upstream) => return Ok(upstream),
+                promotion::PromotionChoice::Nothing
+                | promotion::PromotionChoice::Await(_)
+                | promotion::PromotionChoice::CatchUp(_) => {
+                    self.pause(|| format!("{target} did not catch up")).await?;
+                }
+            }
+        }
+    }
+
+    fn report(
+        &self,
+        choice: &promotion::PromotionChoice,
+        candidates: &[promotion::Candidate],
+        head: Option<log_position::LogPosition>,
+    ) {
+        let seen: Vec<_> = candidates
+            .iter()
+            .map(|candidate| {
+                format!(
+                    "{}:{}:{}",
+                    candidate.upstream,
+                    position_text(candidate.received),
+                    if candidate.fenced { "fenced" } else { "open" }
+                )
+            })
+            .collect();
+        journal::info(
+            "decision_step",
+            &[
+                ("group", &self.group.group),
+                ("decision", &self.number),
+                ("choice", &format!("{choice:?}")),
+                ("candidates", &seen.join(",")),
+                ("head", &position_text(head)),
+                ("acknowledged", &position_text(self.group.acknowledged())),
+            ],
+        );
+    }
+
+    /// Looks for an upstream that leads and answers.
+    async fn find_primary(&self) -> Option<ids::UpstreamId> {
+        let pools = self.board.pools_of(&self.group.group);
+        let asked = pools
+            .iter()
+            .filter(|pool| !pool.is_suspect())
+            .map(|pool| async {
+                let answer = probe::ask_lead(pool, self.group, false).await;
+                matches!(answer, probe::LeadAnswer::Leads(_)).then(|| pool.upstream().clone())
+            });
+        let found = future::join_all(asked).await.into_iter().flatten().next()?;
+        self.board.set_primary(self.group, Some(&found), "probed");
+        Some(found)
+    }
+
+    async fn head(&self, upstream: &str) -> Option<log_position::LogPosition> {
+        let pool = self.board.pool(upstream)?;
+        match probe::ask_lead(&pool, self.group, false).await {
+            probe::LeadAnswer::Leads(position) => position,
+            probe::LeadAnswer::Follows | probe::LeadAnswer::Silent => None,
+        }
+    }
+
+    /// Fences every upstream but the old primary and the target.
+    async fn fence_all_but(
+        &mut self,
+        old: Option<&str>,
+        target: Option<&str>,
+    ) -> Vec<promotion::Candidate> {
+        let pools = self.board.pools_of(&self.group.group);
+        let term = self.term;
+        let asked = pools
+            .iter()
+            .filter(|pool| old != Some(pool.upstream().as_str()))
+            .map(|pool| async move {
+                if target == Some(pool.upstream().as_str()) {
+                    return (pool, None);
+                }
+                (pool, probe::fence(pool, term).await)
+            });
+        let mut candidates = Vec::new();
+        for (pool, status) in future::join_all(asked).await {
+            let mut candidate = candidate(pool);
+            if let Some(status) = status {
+                candidate.fenced = !status.primary && status.fenced > 0;
+                candidate.received = Some(status.received);
+                self.term = self.term.max(status.term + 1);
+                self.group.note_term(status.term);
+                if candidate.fenced {
+                    self.fenced.push(rc::Rc::clone(pool));
+                }
+            }
+            // A replica that receives nothing under this primary has acknowledged nothing of it.
+            let cut_off = old.is_some_and(|old| pool.is_fenced_under(old));
+            if candidate.fenced || !(candidate.leaving && cut_off) {
+                candidates.push(candidate);
+            }
+        }
+        candidates
+    }
+
+    /// Has the platform promote an upstream. A call without an answer may be carried out later, so
+    /// it is repeated until it is answered.
+    async fn promote(&mut self, upstream: ids::UpstreamId) -> DecisionEnd {
+        if let Some(told) = self.told.take()
+            && let Ok(latest) = told.await
+            && latest > self.number
+        {
+            return DecisionEnd::Overtaken;
+        }
+        let mut unanswered = false;
+        loop {
+            // A decision that another VM has begun since then has a higher number.
+            if self.group.decision() != self.number {
+                return DecisionEnd::Overtaken;
+            }
+            if !unanswered && Instant::now() >= self.limit {
+                return DecisionEnd::GaveUp("the platform took no call".to_owned());
+            }
+            match self.call(&upstream).await {
+                Ok(()) => return self.await_lead(upstream).await,
+                Err(edge::PromoteError::Refused(reason)) if unanswered => {
+                    return DecisionEnd::Unsettled(reason);
+                }
+                Err(edge::PromoteError::Refused(reason)) => return DecisionEnd::GaveUp(reason),
+                Err(edge::PromoteError::NoAnswer(_)) => {
+                    unanswered = true;
+                    if self.leads(&upstream).await {
+                        return self.await_lead(upstream).await;
+                    }
+                }
+                Err(edge::PromoteError::Busy(_)) => {}
+            }
+            tokio::time::sleep(limits::MONITOR_TICK).await;
+        }
+    }
+
+    async fn call(&self, upstream: &ids::UpstreamId) -> Result<(), edge::PromoteError> {
+        let call =
+            self.board
+                .edge
+                .promote(&self.group.group, upstream, &self.board.node, self.number);
+        let result = tokio::time::timeout(limits::PROMOTE_TIMEOUT, call)
+            .await
+            .unwrap_or_else(|_elapsed| Err(edge::PromoteError::NoAnswer("timeout".to_owned())));
+        let text = match &result {
+            Ok(()) => "accepted".to_owned(),
+            Err(error) => error.to_string(),
+        };
+        journal::warn(
+            "promotion_called",
+            &[
+                ("group", &self.group.group),
+                ("upstream", &upstream),
+                ("decision", &self.number),
+                ("result", &text),
+            ],
+        );
+        result
+    }
+
+    async fn leads(&self, upstream: &str) -> bool {
+        let Some(pool) = self.board.pool(upstream) else {
+            return false;
+        };
+        let answer = probe::ask_lead(&pool, self.group, false).await;
+        matches!(answer, probe::LeadAnswer::Leads(_))
+    }
+
+    async fn await_lead(&self, upstream: ids::UpstreamId) -> DecisionEnd {
+        let limit = Instant::now() + limits::LEAD_LIMIT;
+        while Instant::now() < limit {
+            if self.leads(&upstream).await {
+                self.board
+                    .set_primary(self.group, Some(&upstream), "promoted");
+                return DecisionEnd::Promoted(upstream);
+            }
+            if self.group.decision() != self.number {
+                return DecisionEnd::Overtaken;
+            }
+            tokio::time::sleep(limits::LEAD_POLL).await;
+        }
+        DecisionEnd::Unsettled(format!("{upstream} does not lead yet"))
+    }
+}
+
+/// Returns what is known of an upstream before it is asked.
+pub fn candidate<E: edge::NodeEdge>(pool: &pool::UpstreamPool<E>) -> promotion::Candidate {
+    promotion::Candidate {
+        upstream: pool.upstream().clone(),
+        received: None,
+        fenced: false,
+        leaving: pool.read_entry(|entry| entry.leaving),
+    }
+}
+
+/// Writes a position, or a dash.
+#[must_use]
+pub fn position_text(position: Option<log_position::LogPosition>) -> String {
+    position.map_or_else(|| "-".to_owned(), |position| position.to_string())
+}
--- a/src/node/edge.rs
+++ b/src/node/edge.rs
@@ -7,7 +7,9 @@
 use tokio::io::{AsyncRead, AsyncWrite};
 
 use crate::model::ids;
-use crate::node::{answers, command, config, member, request, session_state, upstream_entry};
+use crate::node::{
+    answers, command, config, lead_change, member, request, session_state, upstream_entry,
+};
 
 /// Revision of the store; it only grows.
 pub type RevisionNumber = u64;
@@ -119,13 +121,17 @@
 }
 
 /// What a number for a decision is taken for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
-#[display(rename_all = "snake_case")]
+#[derive(Clone, Debug, PartialEq, Eq, derive_more::Display)]
 pub enum ClaimPurpose {
     /// A decision that begins now.
-    Now,
+    #[display("now")]
+    Now(lead_change::LeadChange),
     /// A failover that may come while the store is away.
+    #[display("reserve")]
     Reserve,
+    /// The end of the decision before it.
+    #[display("ended")]
+    Ended,
 }
 
 /// A number that a VM has taken for a decision on the primary of a group.
@@ -218,7 +224,7 @@
         group: &str,
         node: &str,
         previous: RevisionNumber,
-        purpose: ClaimPurpose,
+        purpose: &ClaimPurpose,
     ) -> impl Future<Output = Result<RevisionNumber, StoreError>>;
 
     /// Has the platform make `upstream` the primary of `group`.
--- a/src/node/group.rs
+++ b/src/node/group.rs
@@ -5,11 +5,18 @@
 
 use crate::decide::barrier;
 use crate::model::{ids, log_position};
-use crate::node::edge;
+use crate::node::{edge, lead_change, limits};
 
 /// A commit that waits for its answer.
 pub type CommitNumber = u64;
 
+/// A decision on the primary that may be under way.
+#[derive(Debug)]
+struct OpenDecision {
+    change: lead_change::LeadChange,
+    seen: time::Duration,
+}
+
 /// What a node knows about one group of upstreams.
 #[derive(Debug)]
 pub struct GroupState {
@@ -24,6 +31,11 @@
     last_commit: cell::Cell<time::Duration>,
     decision: cell::Cell<edge::RevisionNumber>,
     decided: cell::Cell<Option<time::Duration>>,
+    open_decision: cell::RefCell<Option<OpenDecision>>,
+    /// Last position that the next primary is known to hold.
+    kept: cell::Cell<Option<log_position::LogPosition>>,
+    /// Whether a commit is being looked for at the next primary.
+    looking: cell::Cell<bool>,
     settled: cell::Cell<Option<time::Duration>>,
     deciding: cell::Cell<bool>,
     term: cell::Cell<ids::TermNumber>,
@@ -45,6 +57,9 @@
             last_commit: cell::Cell::default(),
             decision: cell::Cell::default(),
             decided: cell::Cell::default(),
+            open_decision: cell::RefCell::default(),
+            kept: cell::Cell::default(),
+            looking: cell::Cell::default(),
             settled: cell::Cell::default(),
             deciding: cell::Cell::default(),
             term: cell::Cell::default(),
@@ -88,6 +103,7 @@
         asked: time::Duration,
         position: log_position::LogPosition,
     ) {
+        self.note_term(position.term);
         if !self.is_primary(upstream) {
             return;
         }
@@ -120,20 +136,22 @@
         number
     }
 
-    /// Notes that a commit was answered; `position` is set if it was acknowledged.
-    pub fn commit_ended(
-        &self,
-        number: CommitNumber,
-        position: Option<log_position::LogPosition>,
-        now: time::Duration,
-    ) {
+    /// Notes that a commit was answered or given up.
+    pub fn commit_ended(&self, number: CommitNumber) {
         self.commits
             .borrow_mut()
             .retain(|(other, _)| *other != number);
-        if position.is_some() {
-            self.last_commit.set(now);
-            self.acknowledged.set(self.acknowledged.get().max(position));
-        }
+    }
+
+    /// Notes that the primary has acknowledged a commit.
+    pub fn commit_succeeded(&self, now: time::Duration) {
+        self.last_commit.set(now);
+    }
+
+    /// Records a position up to which commits are kept whoever leads next.
+    pub fn acknowledge(&self, position: log_position::LogPosition) {
+        self.acknowledged
+            .set(self.acknowledged.get().max(Some(position)));
     }
 
     /// Returns the highest position that this node has seen acknowledged.
@@ -151,23 +169,80 @@
         })
     }
 
-    /// Records the latest number of a decision that the store knows, and when a decision began.
+    /// Records the latest number of a decision, and what it was taken for.
     pub fn record_claim(
         &self,
         number: edge::RevisionNumber,
-        purpose: edge::ClaimPurpose,
+        purpose: &edge::ClaimPurpose,
         now: time::Duration,
     ) {
         if number <= self.decision.get() {
             return;
         }
         self.decision.set(number);
+        self.kept.set(None);
         // A number in reserve is good only as long as nobody has taken a later one.
         self.reserve.set(None);
-        match purpose {
-            edge::ClaimPurpose::Now => self.decided.set(Some(now)),
-            edge::ClaimPurpose::Reserve => {}
+        let open = match purpose {
+            edge::ClaimPurpose::Now(change) => {
+                self.decided.set(Some(now));
+                Some(OpenDecision {
+                    change: change.clone(),
+                    seen: now,
+                })
+            }
+            edge::ClaimPurpose::Reserve | edge::ClaimPurpose::Ended => None,
+        };
+        *self.open_decision.borrow_mut() = open;
+    }
+
+    /// Opens a decision that did not come to this VM's knowledge by the store. Its number may have
+    /// been known as one in reserve. Returns whether no later number is known.
+    pub fn open_decision(
+        &self,
+        number: edge::RevisionNumber,
+        change: lead_change::LeadChange,
+        now: time::Duration,
+    ) -> bool {
+        if number < self.decision.get() {
+            return false;
+        }
+        if number > self.decision.get() {
+            self.kept.set(None);
         }
+        self.decision.set(number);
+        self.reserve.set(None);
+        self.decided.set(Some(now));
+        *self.open_decision.borrow_mut() = Some(OpenDecision { change, seen: now });
+        true
+    }
+
+    /// Returns what the decision that may be under way changes. The end of a decision is told by
+    /// whoever made it, so one whose VM has died counts as under way for a while.
+    #[must_use]
+    pub fn open_change(&self, now: time::Duration) -> Option<lead_change::LeadChange> {
+        let open = self.open_decision.borrow();
+        let open = open.as_ref()?;
+        (now.saturating_sub(open.seen) < limits::DECISION_EXPIRY).then(|| open.change.clone())
+    }
+
+    /// Notes that the next primary holds a position, and with it all earlier ones of its term.
+    pub fn note_kept(&self, position: log_position::LogPosition) {
+        self.kept.set(self.kept.get().max(Some(position)));
+    }
+
+    /// Tells whether the next primary is known to hold a position.
+    #[must_use]
+    pub fn is_kept(&self, position: log_position::LogPosition) -> bool {
+        self.kept
+            .get()
+            .is_some_and(|kept| kept.term == position.term && kept.offset >= position.offset)
+    }
+
+    /// Says whether a commit is being looked for, and returns what was said before. One question
+    /// at a time serves all commits that wait.
+    pub fn set_looking(&self, looking: bool) -> bool {
+        self.looking.replace(looking)
     }
 
     /// Keeps the latest number, taken by this VM, in reserve for one failover.
--- a/src/node/health.rs
+++ b/src/node/health.rs
@@ -53,6 +53,13 @@
         self.unanswered = Some(since);
     }
 
+    /// Forgets that answers are owed. What was seen while this VM was cut off says nothing of the
+    /// upstream.
+    pub fn forget_silence(&mut self, now: time::Duration) {
+        self.unanswered = (self.running > 0).then_some(now);
+        self.refused = false;
+    }
+
     /// Returns how long the upstream has owed an answer.
     #[must_use]
     pub fn silence(&self, now: time::Duration) -> time::Duration {
--- a/src/node/isolation.rs
+++ b/src/node/isolation.rs
@@ -5,17 +5,25 @@
 
 use std::cell;
 use std::rc;
+use std::time;
 
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
 use crate::link::{server, stream_kind};
-use crate::node::{board, edge, journal, limits, pool};
+use crate::node::{board, edge, journal, limits};
 
 /// Whether this VM is cut off.
 #[derive(Debug, Default)]
 pub struct IsolationState {
     since: cell::Cell<Option<Instant>>,
+    /// Time since which the store has to have answered for this VM to know of every decision; a time
+    /// of [`edge::NodeEdge::boot_time`].
+    owed: cell::Cell<time::Duration>,
+    /// When the last call that the store has answered began.
+    answered: cell::Cell<time::Duration>,
+    /// When the connections were last looked at, by [`edge::NodeEdge::boot_time`].
+    looked: cell::Cell<Option<time::Duration>>,
     changed: Notify,
 }
 
@@ -43,6 +51,47 @@
         }
     }
 
+    /// Tells whether the VM may have missed a decision on a primary: it was cut off, or did not run,
+    /// and the store has not answered since. `now` is a time of [`edge::NodeEdge::boot_time`].
+    #[must_use]
+    pub fn is_uninformed(&self, now: time::Duration) -> bool {
+        let looked = self.looked.get();
+        let paused = looked.is_some_and(|looked| now.saturating_sub(looked) > limits::STALL_GAP);
+        paused || self.answered.get() < self.owed.get()
+    }
+
+    /// Notes that the store has answered a call that began at `asked`, a time of
+    /// [`edge::NodeEdge::boot_time`]. Returns whether this VM is informed again by it.
+    pub fn note_answer(&self, asked: time::Duration) -> bool {
+        let uninformed = self.answered.get() < self.owed.get();
+        self.answered.set(self.answered.get().max(asked));
+        let informed = uninformed && self.answered.get() >= self.owed.get();
+        if informed {
+            journal::info("vm_informed_again", &[]);
+        }
+        informed
+    }
+
+    /// Notes a look at the connections at `now`; `quiet` says that no other data centre answers.
+    /// Returns whether the store should be asked.
+    fn note_look(&self, now: time::Duration, quiet: bool) -> bool {
+        let looked = self.looked.replace(Some(now));
+        let paused = looked.is_some_and(|looked| now.saturating_sub(looked) > limits::STALL_GAP);
+        let before = self.answered.get() < self.owed.get();
+        if paused {
+            self.owed.set(now);
+        } else if quiet {
+            let owed = now.saturating_sub(limits::DOUBT_AFTER);
+            self.owed.set(self.owed.get().max(owed));
+        }
+        let uninformed = self.answered.get() < self.owed.get();
+        if uninformed && !before {
+            journal::warn("vm_uninformed", &[("quiet", &quiet), ("paused", &paused)]);
+        }
+        let stale = now.saturating_sub(self.answered.get()) > limits::POSITION_INTERVAL;
+        uninformed || (quiet && stale)
+    }
+
     fn note(&self, connected: bool) {
         if connected == self.since.get().is_none() {
             return;
@@ -60,12 +109,17 @@
 /// Watches the connections of this VM as long as the node runs.
 pub async fn watch<E: edge::NodeEdge>(board: rc::Rc<board::NodeBoard<E>>) {
     loop {
-        let connected = match sees_others(&board) {
-            Some(connected) => {
+        let connected = match silence(&board) {
+            Some(silence) => {
+                let quiet = silence > limits::DOUBT_AFTER;
+                if board.isolation.note_look(board.edge.boot_time(), quiet) {
+                    board.refresh.notify_one();
+                }
                 tokio::time::sleep(limits::MONITOR_TICK).await;
-                connected
+                silence < limits::ISOLATED_AFTER
             }
             None => {
+                board.isolation.looked.set(None);
                 tokio::time::sleep(limits::ASK_INTERVAL).await;
                 ask_hosts(&board).await
             }
@@ -74,11 +128,12 @@
     }
 }
 
-/// Tells whether an upstream in another data centre has answered lately. Returns nothing if this VM
-/// connects to none.
+/// Returns for how long no upstream in another data centre has answered. Returns nothing if this
+/// VM connects to none.
 #[must_use]
-pub fn sees_others<E: edge::NodeEdge>(board: &board::NodeBoard<E>) -> Option<bool> {
-    let remote: Vec<_> = board
+pub fn silence<E: edge::NodeEdge>(board: &board::NodeBoard<E>) -> Option<time::Duration> {
+    let now = board::steady_now();
+    board
         .pools()
         .into_iter()
         .filter(|pool| {
@@ -86,13 +141,11 @@
                 entry.data_centre != board.own.data_centre && board.is_host(&entry.group)
             })
         })
-        .collect();
-    let now = board::steady_now();
-    let answers = |pool: &rc::Rc<pool::UpstreamPool<E>>| {
-        let heard = pool.health.get().heard();
-        heard.is_some_and(|heard| now.saturating_sub(heard) < limits::ISOLATED_AFTER)
-    };
-    (!remote.is_empty()).then(|| remote.iter().any(answers))
+        .map(|pool| {
+            let heard = pool.health.get().heard();
+            heard.map_or(time::Duration::MAX, |heard| now.saturating_sub(heard))
+        })
+        .min()
 }
 
 /// Asks the nearest hosts whether they are connected. A VM that does not know any yet counts as
--- a/src/node/limits.rs
+++ b/src/node/limits.rs
@@ -86,6 +86,22 @@
 pub const COMMIT_STALL: Duration = Duration::from_millis(600);
 /// Time within which one decision on a primary has to be carried out.
 pub const DECISION_LIMIT: Duration = Duration::from_millis(2_500);
+/// Time after which a decision whose end nobody has told counts as over. A call for a promotion
+/// that was not answered may be carried out seconds later.
+pub const DECISION_EXPIRY: Duration = Duration::from_secs(10);
+/// Time within which an accepted promotion has to take effect.
+pub const LEAD_LIMIT: Duration = Duration::from_millis(2_500);
+/// Time within which the other hosts of a group confirm that they know of a decision.
+pub const NOTICE_TIMEOUT: Duration = Duration::from_millis(100);
+/// Time within which a VM has to know the list of upstreams as of its decision.
+pub const LIST_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time without an answer from another data centre, nor from the store, after which a VM may have
+/// missed a decision.
+pub const DOUBT_AFTER: Duration = Duration::from_millis(450);
+/// Pause between two questions whether an upstream holds a commit.
+pub const HOLD_POLL: Duration = Duration::from_millis(8);
+/// Time for which a new primary that lacks a commit is asked again, since it may still apply it.
+pub const HOLD_PATIENCE: Duration = Duration::from_millis(200);
 /// Time within which the store has to give the number of a decision.
 pub const CLAIM_TIMEOUT: Duration = Duration::from_millis(400);
 /// Pause between two tries to take a number in reserve.
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -6,13 +6,16 @@
 //! decision. `docs/node.md` shows the way of a statement through these modules. All tasks of a node
 //! run on one thread, so tables are shared by `Rc` and no borrow is held across an `await`.
 
+pub mod acknowledgement;
 pub mod answers;
 pub mod attempt;
 pub mod board;
 pub mod choose;
+pub mod claims;
 pub mod command;
 pub mod config;
 pub mod control;
+pub mod decision;
 pub mod edge;
 pub mod failover;
 pub mod gauges;
@@ -21,9 +24,11 @@
 pub mod hosts;
 pub mod isolation;
 pub mod journal;
+pub mod lead_change;
 pub mod limits;
 pub mod member;
 pub mod monitor;
+pub mod notices;
 pub mod peers;
 pub mod pool;
 pub mod probe;
--- a/src/node/monitor.rs
+++ b/src/node/monitor.rs
@@ -6,7 +6,7 @@
 use std::time;
 
 use crate::model::ids;
-use crate::node::{board, edge, failover, group, journal, limits, pool, probe};
+use crate::node::{board, claims, edge, failover, group, journal, limits, pool, probe};
 
 /// Why a group may need another primary.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
@@ -81,6 +81,11 @@
             since = None;
             continue;
         }
+        // Neither a part of the list nor what was seen while cut off is ground for a decision.
+        if !board.knows_all() || board.isolation.is_uninformed(board.edge.boot_time()) {
+            since = None;
+            continue;
+        }
         let Some(trouble) = trouble(&board, &group, now) else {
             since = None;
             if now.saturating_sub(last_reserve) >= limits::RESERVE_INTERVAL {
@@ -173,14 +178,16 @@
     let busy = group
         .decided()
         .is_some_and(|moment| now.saturating_sub(moment) < limits::DECISION_RESPECT);
-    let wanted = board.store_up.get() && !group.is_deciding() && !busy;
+    let open = group.open_change(now).is_some();
+    let wanted = board.store_up.get() && !group.is_deciding() && !busy && !open;
     if !wanted || group.has_reserve() || board.decision_rank(group) > 0 {
         return;
     }
+    let previous = group.decision();
     let board = rc::Rc::clone(board);
     let group = rc::Rc::clone(group);
     tokio::task::spawn_local(async move {
-        failover::reserve_number(&board, &group).await;
+        claims::reserve_number(&board, &group, previous).await;
     });
 }
 
--- /dev/null
+++ b/src/node/notices.rs
@@ -0,0 +1,92 @@
+//! Tells the other hosts of a group that a decision on its primary has begun.
+//!
+//! They hear of it by the store as well, but that may be slow or away, and what they pass on as
+//! acknowledged meanwhile could be missing at the successor. See `docs/node.md`, "Failover".
+
+use std::rc;
+
+use futures::future;
+
+use crate::link::{server, stream_kind};
+use crate::node::{board, edge, journal, lead_change, limits};
+
+/// Tells the other hosts, and waits a while for them to confirm it. Returns the highest number of
+/// a decision that any of them knows.
+pub async fn tell_hosts<E: edge::NodeEdge>(
+    board: rc::Rc<board::NodeBoard<E>>,
+    notice: lead_change::LeadNotice,
+) -> edge::RevisionNumber {
+    let hosts = board.ordered_hosts(&notice.group);
+    let told = hosts.iter().map(|host| async {
+        let told = tell(&board, host, &notice);
+        let result = tokio::time::timeout(limits::NOTICE_TIMEOUT, told)
+            .await
+            .unwrap_or_else(|elapsed| Err(elapsed.to_string()));
+        match result {
+            Ok(number) => Some(number),
+            Err(error) => {
+                journal::info(
+                    "notice_unconfirmed",
+                    &[
+                        ("group", &notice.group),
+                        ("decision", &notice.number),
+                        ("vm", host),
+                        ("reason", &error),
+                    ],
+                );
+                None
+            }
+        }
+    });
+    let numbers = future::join_all(told).await;
+    numbers.into_iter().flatten().max().unwrap_or_default()
+}
+
+async fn tell<E: edge::NodeEdge>(
+    board: &board::NodeBoard<E>,
+    host: &str,
+    notice: &lead_change::LeadNotice,
+) -> Result<edge::RevisionNumber, String> {
+    let client = board.peers.connect(board, host).await?;
+    let (mut writer, mut reader) = client
+        .open(stream_kind::StreamKind::Lead)
+        .await
+        .map_err(|error| error.to_string())?;
+    writer
+        .send_last(notice)
+        .await
+        .map_err(|error| error.to_string())?;
+    reader.expect().await.map_err(|error| error.to_string())
+}
+
+/// Takes note of a decision of another VM, and tells it the latest one that this VM knows.
+pub async fn answer<E: edge::NodeEdge>(
+    board: rc::Rc<board::NodeBoard<E>>,
+    mut stream: server::PeerStream,
+) {
+    let vm = stream.greeting.vm.clone();
+    let notice = match stream.reader.expect::<lead_change::LeadNotice>().await {
+        Ok(notice) => notice,
+        Err(error) => {
+            journal::debug("peer_lost", &[("vm", &vm), ("reason", &error)]);
+            return;
+        }
+    };
+    let group = board.group(&notice.group);
+    let is_news = notice.number > group.decision();
+    let opened = group.open_decision(notice.number, notice.change, board::steady_now());
+    if is_news || !opened {
+        journal::info(
+            "decision_told",
+            &[
+                ("group", &group.group),
+                ("decision", &notice.number),
+                ("vm", &vm),
+                ("latest", &group.decision()),
+            ],
+        );
+    }
+    if let Err(error) = stream.writer.send_last(&group.decision()).await {
+        journal::debug("peer_lost", &[("vm", &vm), ("reason", &error)]);
+    }
+}
--- a/src/node/probe.rs
+++ b/src/node/probe.rs
@@ -3,7 +3,7 @@
 use std::rc;
 
 use crate::model::{ids, log_position};
-use crate::node::{board, command, edge, group, journal, limits, pool, upstream_session};
+use crate::node::{answers, board, command, edge, group, journal, limits, pool, upstream_session};
 
 /// What an upstream said about its lead.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -54,6 +54,42 @@
     }
 }
 
+/// Asks an upstream whether its log holds a position. Returns nothing if it does not say.
+pub async fn ask_holds<E: edge::NodeEdge>(
+    pool: &rc::Rc<pool::UpstreamPool<E>>,
+    position: log_position::LogPosition,
+) -> Option<bool> {
+    let begin = command::UpstreamCommand::Begin {
+        read_only: true,
+        floor: Some(position),
+    };
+    let question = async {
+        let mut session = pool.acquire_for_probe(false).await?;
+        let commands = [&begin, &command::UpstreamCommand::Rollback];
+        let [answer, _end] = session.exchange(commands).await.ok()?;
+        pool.release(session);
+        match answer.error_code() {
+            None => Some(true),
+            Some(answers::ErrorCode::Lagging) => Some(false),
+            Some(code) => {
+                journal::debug(
+                    "position_unanswered",
+                    &[("upstream", pool.upstream()), ("reason", &code)],
+                );
+                None
+            }
+        }
+    };
+    let started = board::steady_now();
+    match tokio::time::timeout(limits::PROBE_TIMEOUT, question).await {
+        Ok(holds) => holds,
+        Err(_elapsed) => {
+            pool.note(|health| health.silent(started));
+            None
+        }
+    }
+}
+
 /// Sends a command that is answered with the state of the upstream.
 pub async fn ask_status<E: edge::NodeEdge>(
     pool: &rc::Rc<pool::UpstreamPool<E>>,
--- a/src/node/relay_caller.rs
+++ b/src/node/relay_caller.rs
@@ -8,8 +8,8 @@
 use crate::link::{server, stream_kind};
 use crate::model::ids;
 use crate::node::{
-    answers, board, edge, isolation, journal, relay_frame, request, session_start, session_state,
-    status, stop,
+    answers, board, edge, isolation, journal, notices, relay_frame, request, session_start,
+    session_state, status, stop,
 };
 
 /// Serves the streams that other VMs open, as long as some may come.
@@ -29,6 +29,9 @@
             stream_kind::StreamKind::Reach => {
                 tokio::task::spawn_local(isolation::answer(rc::Rc::clone(&board), stream));
             }
+            stream_kind::StreamKind::Lead => {
+                tokio::task::spawn_local(notices::answer(rc::Rc::clone(&board), stream));
+            }
             stream_kind::StreamKind::Control => {
                 tokio::task::spawn_local(status::answer(rc::Rc::clone(&board), stream));
             }
--- a/src/node/transaction.rs
+++ b/src/node/transaction.rs
@@ -10,8 +10,8 @@
 
 use crate::model::log_position;
 use crate::node::{
-    answers, attempt, board, command, config, edge, group, journal, limits, pool, reads, request,
-    session_state, upstream_session, writes,
+    acknowledgement, answers, attempt, board, command, config, edge, group, journal, limits, pool,
+    reads, request, session_state, upstream_session, writes,
 };
 
 /// How a statement of a transaction ended.
@@ -145,12 +145,13 @@
                 return self.abort("no connection".to_owned());
             };
             let pool = rc::Rc::clone(session.pool());
+            let asked = pool.boot_time();
             let group = rc::Rc::clone(&self.plan.group);
             let wrote = self.wrote;
             let sent = command.clone();
             let mut work = Box::pin(async move {
                 let result = if wrote {
-                    writes::commit_exchange(&pool, &group, &mut session, &sent).await
+                    writes::commit_exchange(&group, &mut session, &sent).await
                 } else {
                     session.exchange([&sent]).await.map(|[answer]| answer)
                 };
@@ -178,10 +179,23 @@
             session.set_in_transaction(false);
             // A connection that is still in a transaction is closed, which rolls it back.
             if answer.state == answers::TransactionState::Idle {
-                let pool = rc::Rc::clone(session.pool());
                 pool.release(session);
             }
-            return TransactionEnd::Answered(answer);
+            let Some(position) = answer.position.filter(|_| wrote && answer.result.is_ok()) else {
+                return TransactionEnd::Answered(answer);
+            };
+            let commit = acknowledgement::AcknowledgedCommit {
+                request: request.clone(),
+                group: rc::Rc::clone(&self.plan.group),
+                upstream: pool.upstream().clone(),
+                position,
+            };
+            let kept = writes::keep_commit(board, &commit, asked);
+            return match tokio::time::timeout_at(limit, kept).await {
+                Ok(Ok(())) => TransactionEnd::Answered(answer),
+                Ok(Err(reason)) => self.commit_lost(reason),
+                Err(_elapsed) => self.commit_lost("the primary is being replaced".to_owned()),
+            };
         }
     }
 
--- a/src/node/writes.rs
+++ b/src/node/writes.rs
@@ -1,13 +1,14 @@
 //! Single writes outside a transaction: at most one attempt may reach an upstream's log.
 
 use std::rc;
+use std::time;
 
 use tokio::time::Instant;
 
 use crate::model::{ids, log_position};
 use crate::node::{
-    answers, attempt, board, command, config, edge, group, journal, limits, pool, request,
-    session_state, upstream_session,
+    acknowledgement, answers, attempt, board, command, config, edge, group, journal, limits, pool,
+    request, session_state, upstream_session,
 };
 
 /// A single write.
@@ -95,7 +96,12 @@
             continue;
         }
         let limit = order.started + order.route.timeout;
-        let work = Box::pin(send(rc::Rc::clone(&pool), session, order.clone()));
+        let work = Box::pin(send(
+            rc::Rc::clone(board),
+            rc::Rc::clone(&pool),
+            session,
+            order.clone(),
+        ));
         let end = finish_by(work, limit, pool.upstream()).await;
         let WriteEnd::NotRun(reason) = end else {
             return end;
@@ -138,6 +144,7 @@
 }
 
 async fn send<E: edge::NodeEdge>(
+    board: rc::Rc<board::NodeBoard<E>>,
     pool: rc::Rc<pool::UpstreamPool<E>>,
     mut session: upstream_session::UpstreamSession<E>,
     order: WriteOrder,
@@ -145,9 +152,9 @@
     let Some(command) = session.set_up(&order.session, &order.request, None) else {
         return WriteEnd::NotRun(attempt::NotRun::NotPrepared);
     };
-    match commit_exchange(&pool, &order.group, &mut session, &command).await {
+    let asked = pool.boot_time();
+    match commit_exchange(&order.group, &mut session, &command).await {
         Ok(answer) => {
-            let position = answer.position.filter(|_| answer.result.is_ok());
             match answer.error_code().and_then(attempt::not_run) {
                 Some(attempt::NotRun::NotPrepared) => {
                     // The connection is not in the state that it should be in, so it is closed.
@@ -160,7 +167,7 @@
                 }
                 None => {
                     pool.release(session);
-                    WriteEnd::Answered(pool.upstream().clone(), answer, position)
+                    keep_write(&board, &pool, &order, answer, asked).await
                 }
             }
         }
@@ -168,51 +175,67 @@
     }
 }
 
-/// Sends a command that commits, and records what its answer proves: a commit that succeeds shows
-/// that the upstream leads, and how far its log reaches.
+async fn keep_write<E: edge::NodeEdge>(
+    board: &board::NodeBoard<E>,
+    pool: &pool::UpstreamPool<E>,
+    order: &WriteOrder,
+    answer: answers::UpstreamAnswer,
+    asked: time::Duration,
+) -> WriteEnd {
+    let upstream = pool.upstream().clone();
+    let Some(position) = answer.position.filter(|_| answer.result.is_ok()) else {
+        return WriteEnd::Answered(upstream, answer, None);
+    };
+    let commit = acknowledgement::AcknowledgedCommit {
+        request: order.request.clone(),
+        group: rc::Rc::clone(&order.group),
+        upstream: upstream.clone(),
+        position,
+    };
+    match keep_commit(board, &commit, asked).await {
+        Ok(()) => WriteEnd::Answered(upstream, answer, Some(position)),
+        Err(reason) => WriteEnd::Unknown(upstream, reason),
+    }
+}
+
+/// Sends a command that commits. An answer that it succeeded shows that the upstream led, and how
+/// far its log reached; whether the commit is kept is another question, see
+/// [`acknowledgement::await_kept`].
 ///
 /// # Errors
 ///
 /// Fails if the connection breaks; the command may have run then.
 pub async fn commit_exchange<E: edge::NodeEdge>(
-    pool: &rc::Rc<pool::UpstreamPool<E>>,
     group: &rc::Rc<group::GroupState>,
     session: &mut upstream_session::UpstreamSession<E>,
     command: &command::UpstreamCommand,
 ) -> std::io::Result<answers::UpstreamAnswer> {
-    let asked = pool.boot_time();
-    let watch = CommitWatch {
+    let _watch = CommitWatch {
         group: rc::Rc::clone(group),
         number: group.commit_sent(board::steady_now()),
     };
     let [answer] = session.exchange([command]).await?;
-    if answer.result.is_ok()
-        && let Some(position) = answer.position
-    {
-        report_decision(group, pool.upstream(), position);
-        group.confirm(pool.upstream(), asked, position);
-        group.commit_ended(watch.number, Some(position), board::steady_now());
+    if answer.result.is_ok() {
+        group.commit_succeeded(board::steady_now());
     }
     Ok(answer)
 }
 
-/// Reports an acknowledgement that came while a decision on the primary may be under way.
-fn report_decision(group: &group::GroupState, upstream: &str, position: log_position::LogPosition) {
-    let now = board::steady_now();
-    let recent =
-        |decided: std::time::Duration| now.saturating_sub(decided) < limits::DECISION_LIMIT;
-    if !group.decided().is_some_and(recent) {
-        return;
-    }
-    journal::info(
-        "commit_during_decision",
-        &[
-            ("group", &group.group),
-            ("upstream", &upstream),
-            ("position", &position),
-            ("decision", &group.decision()),
-        ],
-    );
+/// Waits until a commit that was sent at `asked` is known to be kept, and records that.
+///
+/// # Errors
+///
+/// Fails if the commit is dropped.
+pub async fn keep_commit<E: edge::NodeEdge>(
+    board: &board::NodeBoard<E>,
+    commit: &acknowledgement::AcknowledgedCommit,
+    asked: time::Duration,
+) -> Result<(), String> {
+    acknowledgement::await_kept(board, commit).await?;
+    let group = &commit.group;
+    group.confirm(&commit.upstream, asked, commit.position);
+    group.acknowledge(commit.position);
+    Ok(())
 }
 
 /// Counts a commit as under way until it is answered or given up.
@@ -223,7 +246,6 @@
 
 impl Drop for CommitWatch {
     fn drop(&mut self) {
-        self.group
-            .commit_ended(self.number, None, board::steady_now());
+        self.group.commit_ended(self.number);
     }
 }
--- a/src/pool/daemon.rs
+++ b/src/pool/daemon.rs
@@ -71,7 +71,8 @@
         | stream_kind::StreamKind::Gossip
         | stream_kind::StreamKind::Control
         | stream_kind::StreamKind::Session
-        | stream_kind::StreamKind::Reach => {
+        | stream_kind::StreamKind::Reach
+        | stream_kind::StreamKind::Lead => {
             stream.writer.abort();
             Ok(())
         }
--- a/standins/src/cluster/cluster_edge.rs
+++ b/standins/src/cluster/cluster_edge.rs
@@ -236,14 +236,14 @@
         group: &str,
         node: &str,
         previous: edge::RevisionNumber,
-        purpose: edge::ClaimPurpose,
+        purpose: &edge::ClaimPurpose,
     ) -> Result<edge::RevisionNumber, edge::StoreError> {
         self.check_store().await?;
         self.change(|state| {
             if state.decision != previous {
                 return Err(edge::StoreError::Conflict);
             }
-            if purpose == edge::ClaimPurpose::Now
+            if matches!(purpose, edge::ClaimPurpose::Now(_))
                 && let Some(name) = state.listed_by_claim.take()
             {
                 state.list(&name);
@@ -253,7 +253,7 @@
             let claim = edge::DecisionClaim {
                 number,
                 vm: node.to_owned(),
-                purpose,
+                purpose: purpose.clone(),
             };
             state.record(edge::ControlChange::Decision(group.to_owned(), claim));
             Ok(number)
--- a/tests/node_failover.rs
+++ b/tests/node_failover.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use node_support as support;
 use persimmontack::node::edge::{ClaimPurpose, ControlChange, NodeEdge};
+use persimmontack::node::lead_change::LeadChange;
 use persimmontack::node::request::StatementKind;
 
 /// Guards against a group without a primary, and against a successor that lacks an acknowledged
@@ -176,7 +177,7 @@
     support::run(|scene| async move {
         let edge = scene.edge.clone();
         let previous = scene.edge.state.borrow().decision;
-        let purpose = ClaimPurpose::Now;
+        let purpose = &ClaimPurpose::Now(LeadChange::default());
         let other = edge
             .claim_decision("ledger", "vm-2", previous, purpose)
             .await;
@@ -279,7 +280,12 @@
         let edge = scene.edge.clone();
         let previous = scene.edge.state.borrow().decision;
         let other = edge
-            .claim_decision("ledger", "vm-2", previous, ClaimPurpose::Now)
+            .claim_decision(
+                "ledger",
+                "vm-2",
+                previous,
+                &ClaimPurpose::Now(LeadChange::default()),
+            )
             .await;
         assert!(other.is_ok());
         scene
--- a/tests/node_lost_commits.rs
+++ b/tests/node_lost_commits.rs
@@ -8,6 +8,7 @@
 use node_support::told_writes::ToldWrites;
 use persimmontack::node::answers::ErrorCode;
 use persimmontack::node::edge::{ClaimPurpose, NodeEdge, RevisionNumber};
+use persimmontack::node::lead_change::LeadChange;
 use persimmontack::node::limits;
 use standins::cluster::cluster_edge::ClusterEdge;
 use standins::cluster::cluster_state;
@@ -21,10 +22,14 @@
 const LOOK_TIME: Duration = Duration::from_secs(5);
 const TICK: Duration = Duration::from_millis(5);
 
-/// Begins a decision of `vm`, as the store shows it.
-async fn claim(edge: &ClusterEdge, vm: &str) -> RevisionNumber {
+/// Begins a decision of `vm` on the first term, as the store shows it.
+async fn claim(edge: &ClusterEdge, vm: &str, successor: Option<&str>) -> RevisionNumber {
     let previous = edge.state.borrow().decision;
-    edge.claim_decision(cluster_state::GROUP, vm, previous, ClaimPurpose::Now)
+    let purpose = ClaimPurpose::Now(LeadChange {
+        ends: 1,
+        successor: successor.map(str::to_owned),
+    });
+    edge.claim_decision(cluster_state::GROUP, vm, previous, &purpose)
         .await
         .expect("a number")
 }
@@ -161,7 +166,7 @@
         let scene = start(&edge, 1, "dc-a", 1).await;
         let mut caller = scene.caller(support::LATEST).await;
         let told = ToldWrites::default();
-        let decision = claim(&edge, "vm-2").await;
+        let decision = claim(&edge, "vm-2", None).await;
         fence(&edge, &["b", "c"]);
         promote(&edge, "vm-2", "b", decision).await;
         scene.pass(SEEN_AFTER).await;
@@ -187,7 +192,7 @@
         let scene = start(&edge, 1, "dc-a", 1).await;
         let mut caller = scene.caller(support::LATEST).await;
         let told = ToldWrites::default();
-        let decision = claim(&edge, "vm-2").await;
+        let decision = claim(&edge, "vm-2", Some("b")).await;
         fence(&edge, &["c"]);
         promote(&edge, "vm-2", "b", decision).await;
         scene.pass(SEEN_AFTER).await;
@@ -212,7 +217,7 @@
             .until("b is fenced", |scene| is_fenced(&scene.edge, "b"))
             .await;
         assert!(group.is_deciding());
-        let later = claim(&edge, "vm-2").await;
+        let later = claim(&edge, "vm-2", None).await;
         assert!(later > group.decision());
         fence(&edge, &["b"]);
         scene
--- a/tests/node_support/mod.rs
+++ b/tests/node_support/mod.rs
@@ -69,7 +69,7 @@
     tasks.block_on(&runtime, test);
 }
 
-/// Runs a test on a node that knows its primary.
+/// Runs a test on a node that knows its group and its primary.
 pub fn run<F: Future<Output = ()>>(test: impl FnOnce(Scene) -> F) {
     block_on(async {
         let state = cluster_state::ClusterState::new(node_config(1));
@@ -80,6 +80,9 @@
                 scene.primary() == "a" && scene.board.group(cluster_state::GROUP).newest().is_some()
             })
             .await;
+        scene
+            .until("the whole list is known", |scene| scene.board.knows_all())
+            .await;
         test(scene).await;
     });
 }
