Bound a decision's calls, and lift its fences only once it is over

An unanswered call for a promotion was repeated without limit on an old comparison. A VM took its own decision for an abandoned one if the watch brought the number before the store's answer. Fences were lifted while the store was away, although another VM may have decided. The end of a decision opened the way for an earlier one whose VM had died. Time in which the store was away counted as time of following the list.

Change: calls end with the time of the decision, by the clock that goes on during a suspension, and a VM that may have missed something makes none. Fences are lifted after the store has taken the end, or once every host has confirmed that nobody else decides. A decision after one without an end has the platform confirm the primary first, so that earlier calls are refused, and another VM takes an abandoned one over after 4 s. The upstreams are compared again once the other hosts know. A VM that may have missed a decision asks all replicas that stay, and one without the store asks one of them.

--- a/src/node/acknowledgement.rs
+++ b/src/node/acknowledgement.rs
@@ -33,6 +33,8 @@
     Replaced(Option<ids::UpstreamId>),
     /// This VM may have missed that the primary is being replaced.
     Uninformed,
+    /// The store is away, so that this VM hears of decisions by other VMs alone.
+    WithoutStore,
 }
 
 /// Completes once the commit is known to be kept.
@@ -54,8 +56,9 @@
         if !std::mem::replace(&mut held, true) {
             report(commit, "commit_held", &format!("{doubt:?}"), started);
         }
+        let decision = commit.group.decision();
         let kept = look(board, commit, &doubt).await;
-        if kept == Some(true) {
+        if kept == Some(true) && commit.group.decision() == decision {
             commit.group.note_kept(commit.position);
             break Ok(());
         }
@@ -93,7 +96,15 @@
             probe::ask_holds(&pool, commit.position).await
         }
         CommitDoubt::Replaced(None) => None,
-        CommitDoubt::Uninformed => ask_replicas(board, commit).await.then_some(true),
+        CommitDoubt::Uninformed => {
+            let answers = ask_replicas(board, commit).await;
+            let kept = !answers.is_empty() && answers.iter().all(|holds| *holds == Some(true));
+            kept.then_some(true)
+        }
+        CommitDoubt::WithoutStore => {
+            let answers = ask_replicas(board, commit).await;
+            answers.contains(&Some(true)).then_some(true)
+        }
     };
     drop(guard);
     kept
@@ -136,25 +147,31 @@
     if !group.is_primary(&commit.upstream) {
         return Some(CommitDoubt::Replaced(leader));
     }
-    board
-        .isolation
-        .is_uninformed(board.edge.boot_time())
-        .then_some(CommitDoubt::Uninformed)
+    if board.isolation.is_uninformed(board.edge.boot_time()) {
+        return Some(CommitDoubt::Uninformed);
+    }
+    (!board.store_up.get()).then_some(CommitDoubt::WithoutStore)
 }
 
-/// Asks the replicas in the list whether one of them holds the commit. Whoever replaces the primary
+/// Asks the replicas in the list that stay whether they hold the commit. Whoever replaces the primary
 /// compares all of them.
 async fn ask_replicas<E: edge::NodeEdge>(
     board: &board::NodeBoard<E>,
     commit: &AcknowledgedCommit,
-) -> bool {
+) -> Vec<Option<bool>> {
     let pools: Vec<rc::Rc<pool::UpstreamPool<E>>> = board.pools_of(&commit.group.group);
     let asked = pools
         .iter()
-        .filter(|pool| *pool.upstream() != commit.upstream && !pool.is_suspect())
-        .map(|pool| probe::ask_holds(pool, commit.position));
-    let answers = future::join_all(asked).await;
-    answers.contains(&Some(true))
+        .filter(|pool| {
+            *pool.upstream() != commit.upstream && !pool.read_entry(|entry| entry.leaving)
+        })
+        .map(|pool| async {
+            if pool.is_suspect() {
+                return None;
+            }
+            probe::ask_holds(pool, commit.position).await
+        });
+    future::join_all(asked).await
 }
 
 fn report(commit: &AcknowledgedCommit, event: &'static str, what: &str, started: Instant) {
--- a/src/node/board.rs
+++ b/src/node/board.rs
@@ -226,7 +226,6 @@
     /// Waits until the tables show this revision of the store. Returns whether they do in time.
     pub async fn await_revision(&self, revision: edge::RevisionNumber) -> bool {
         let shown = async {
-            self.refresh.notify_one();
             while self.revision.get() < revision {
                 tokio::select! {
                     () = self.changed.notified() => {}
--- a/src/node/claims.rs
+++ b/src/node/claims.rs
@@ -125,15 +125,26 @@
     let board = rc::Rc::clone(board);
     let group = rc::Rc::clone(group);
     tokio::task::spawn_local(async move {
-        loop {
-            match end_decision(&board, &group, number).await {
-                Ok(()) | Err(edge::StoreError::Conflict) => return,
-                Err(error) => journal::debug(
-                    "decision_not_closed",
-                    &[("group", &group.group), ("reason", &error)],
-                ),
-            }
-            tokio::time::sleep(limits::STORE_PAUSE).await;
-        }
+        let _superseded = await_end(&board, &group, number).await;
     });
 }
+
+/// Tells that a decision is over, again until the store answers. Returns whether no later number
+/// had been taken.
+pub async fn await_end<E: edge::NodeEdge>(
+    board: &board::NodeBoard<E>,
+    group: &group::GroupState,
+    number: edge::RevisionNumber,
+) -> bool {
+    loop {
+        match end_decision(board, group, number).await {
+            Ok(()) => return true,
+            Err(edge::StoreError::Conflict) => return false,
+            Err(error) => journal::debug(
+                "decision_not_closed",
+                &[("group", &group.group), ("reason", &error)],
+            ),
+        }
+        tokio::time::sleep(limits::STORE_PAUSE).await;
+    }
+}
--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -15,6 +15,7 @@
         board,
         watched: collections::BTreeSet::new(),
         vanished: collections::BTreeMap::new(),
+        answered: None,
     };
     loop {
         let asked = tables.board.edge.boot_time();
@@ -22,7 +23,7 @@
             Ok(all) => {
                 tables.note_store(None);
                 tables.replace(&all);
-                tables.note_listed();
+                journal::info("list_read", &[("upstreams", &tables.board.pools().len())]);
                 tables.note_revision(all.revision, asked);
                 tables.watch_from(all.revision).await;
             }
@@ -40,6 +41,8 @@
     /// Upstreams and VMs whose entries are gone, and when they are to be dropped. Entries may
     /// vanish in an outage of the store and come back after it.
     vanished: collections::BTreeMap<Vanished, Instant>,
+    /// When the store last answered.
+    answered: Option<Instant>,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -97,8 +100,14 @@
     }
 
     /// Notes that the tables show a revision, by a call that began at `asked`.
-    fn note_revision(&self, revision: edge::RevisionNumber, asked: time::Duration) {
+    fn note_revision(&mut self, revision: edge::RevisionNumber, asked: time::Duration) {
         self.board.revision.set(revision);
+        // An outage in which entries lapse must not count as time in which they could come back.
+        let answered = self.answered.replace(Instant::now());
+        let was_away = answered.is_none_or(|answered| answered.elapsed() > limits::CONTACT_GAP);
+        if was_away && !self.board.knows_all() {
+            self.board.listed_since.set(Some(board::steady_now()));
+        }
         if self.board.isolation.note_answer(asked) {
             let now = board::steady_now();
             for pool in self.board.pools() {
@@ -110,11 +119,16 @@
 
     fn watch_wait(&self) -> time::Duration {
         let now = Instant::now();
+        let longest = if self.board.knows_all() {
+            limits::WATCH_WAIT
+        } else {
+            limits::FIRST_WATCH_WAIT
+        };
         self.vanished
             .values()
             .map(|due| due.saturating_duration_since(now))
             .min()
-            .map_or(limits::WATCH_WAIT, |due| due.min(limits::WATCH_WAIT))
+            .map_or(longest, |due| due.min(longest))
     }
 
     async fn pause(&mut self) {
@@ -134,14 +148,6 @@
         }
     }
 
-    fn note_listed(&self) {
-        let upstreams = self.board.pools().len();
-        journal::info("list_read", &[("upstreams", &upstreams)]);
-        if self.board.listed_since.get().is_none() {
-            self.board.listed_since.set(Some(board::steady_now()));
-        }
-    }
-
     /// Takes over everything that the store holds; what it does not hold any more has vanished.
     fn replace(&mut self, all: &edge::ControlChanges) {
         let mut upstreams = collections::BTreeSet::new();
@@ -225,16 +231,21 @@
     }
 
     /// Ends a decision that this VM does not work on: its number came after it was given up, or it
-    /// is from before a restart. A promotion may still be on its way in that case.
+    /// is from before a restart. A promotion that this VM has called may still be on its way.
     fn end_abandoned(&self, group: &rc::Rc<group::GroupState>, number: edge::RevisionNumber) {
         let board = rc::Rc::clone(&self.board);
         let group = rc::Rc::clone(group);
-        let restarted = !board.knows_all();
+        let may_have_called = group.is_deciding() || !board.knows_all();
         tokio::task::spawn_local(async move {
-            if restarted {
-                tokio::time::sleep(limits::DECISION_EXPIRY).await;
+            while group.is_deciding() {
+                tokio::time::sleep(limits::MONITOR_TICK).await;
+            }
+            if may_have_called {
+                tokio::time::sleep(limits::LEAD_LIMIT).await;
+            }
+            if group.worked() != number {
+                claims::keep_ending(&board, &group, number);
             }
-            claims::keep_ending(&board, &group, number);
         });
     }
 
--- a/src/node/decision.rs
+++ b/src/node/decision.rs
@@ -1,6 +1,7 @@
 //! [`Decision`]: one decision on the primary of a group, from its number to the promotion.
 
 use std::rc;
+use std::time;
 
 use futures::future;
 use tokio::time::Instant;
@@ -41,12 +42,13 @@
     group: &'a rc::Rc<group::GroupState>,
     number: edge::RevisionNumber,
     change: lead_change::LeadChange,
-    limit: Instant,
+    /// When it is given up, by [`edge::NodeEdge::boot_time`]: a suspension must not prolong it.
+    limit: time::Duration,
     term: ids::TermNumber,
     /// Upstreams that it has fenced.
     pub fenced: Vec<rc::Rc<pool::UpstreamPool<E>>>,
-    /// Completes with the highest number that the other hosts know, once they know of this one.
-    told: Option<tokio::task::JoinHandle<edge::RevisionNumber>>,
+    /// Completes once the other hosts know of this decision.
+    told: Option<tokio::task::JoinHandle<notices::NoticeReplies>>,
 }
 
 impl<'a, E: edge::NodeEdge> Decision<'a, E> {
@@ -56,7 +58,7 @@
         group: &'a rc::Rc<group::GroupState>,
         number: edge::RevisionNumber,
         change: lead_change::LeadChange,
-        limit: Instant,
+        limit: time::Duration,
     ) -> Self {
         let notice = lead_change::LeadNotice {
             group: group.group.clone(),
@@ -136,7 +138,11 @@
             let choice = promotion::choose_failover(&candidates, self.group.acknowledged());
             self.report(&choice, &candidates, None);
             match choice {
-                promotion::PromotionChoice::Promote(upstream) => return Ok(upstream),
+                promotion::PromotionChoice::Promote(upstream) => {
+                    if self.all_told().await? {
+                        return Ok(upstream);
+                    }
+                }
                 promotion::PromotionChoice::Nothing => {
                     return Err(DecisionEnd::GaveUp("nothing to promote".to_owned()));
                 }
@@ -156,9 +162,26 @@
         }
     }
 
+    /// Waits until the other hosts know of the decision. Returns whether they did already: if not,
+    /// the upstreams are compared again, since some may have joined meanwhile.
+    async fn all_told(&mut self) -> Result<bool, DecisionEnd> {
+        let Some(told) = self.told.take() else {
+            return Ok(true);
+        };
+        match told.await {
+            Ok(replies) if replies.latest > self.number => Err(DecisionEnd::Overtaken),
+            Ok(_replies) => Ok(false),
+            Err(error) => Err(DecisionEnd::GaveUp(error.to_string())),
+        }
+    }
+
+    fn is_late(&self) -> bool {
+        self.board.edge.boot_time() >= self.limit
+    }
+
     /// Waits a moment for what is missing, unless the time is up.
     async fn pause(&self, missing: impl FnOnce() -> String) -> Result<(), DecisionEnd> {
-        if Instant::now() >= self.limit {
+        if self.is_late() {
             return Err(DecisionEnd::GaveUp(missing()));
         }
         tokio::time::sleep(limits::MONITOR_TICK).await;
@@ -189,7 +212,11 @@
             let choice = promotion::choose_move(&candidates, &target, head);
             self.report(&choice, &candidates, Some(head));
             match choice {
-                promotion::PromotionChoice::Promote(upstream) => return Ok(upstream),
+                promotion::PromotionChoice::Promote(upstream) => {
+                    if self.all_told().await? {
+                        return Ok(upstream);
+                    }
+                }
                 promotion::PromotionChoice::Nothing
                 | promotion::PromotionChoice::Await(_)
                 | promotion::PromotionChoice::CatchUp(_) => {
@@ -291,22 +318,25 @@
     }
 
     /// Has the platform promote an upstream. A call without an answer may be carried out later, so
-    /// it is repeated until it is answered.
+    /// the same call is repeated for a while.
     async fn promote(&mut self, upstream: ids::UpstreamId) -> DecisionEnd {
-        if let Some(told) = self.told.take()
-            && let Ok(latest) = told.await
-            && latest > self.number
-        {
-            return DecisionEnd::Overtaken;
-        }
         let mut unanswered = false;
         loop {
             // A decision that another VM has begun since then has a higher number.
             if self.group.decision() != self.number {
                 return DecisionEnd::Overtaken;
             }
-            if !unanswered && Instant::now() >= self.limit {
-                return DecisionEnd::GaveUp("the platform took no call".to_owned());
+            let uninformed = self
+                .board
+                .isolation
+                .is_uninformed(self.board.edge.boot_time());
+            if uninformed || self.is_late() {
+                let reason = format!("not carried out in time, uninformed={uninformed}");
+                return if unanswered {
+                    DecisionEnd::Unsettled(reason)
+                } else {
+                    DecisionEnd::GaveUp(reason)
+                };
             }
             match self.call(&upstream).await {
                 Ok(()) => return self.await_lead(upstream).await,
@@ -326,6 +356,12 @@
         }
     }
 
+    /// Has the platform confirm the present primary, so that it refuses calls of earlier decisions
+    /// from then on.
+    pub async fn confirm_lead(&self, primary: &ids::UpstreamId) -> bool {
+        self.call(primary).await.is_ok()
+    }
+
     async fn call(&self, upstream: &ids::UpstreamId) -> Result<(), edge::PromoteError> {
         let call =
             self.board
--- a/src/node/failover.rs
+++ b/src/node/failover.rs
@@ -6,14 +6,12 @@
 
 use std::rc;
 
-use futures::future;
-use tokio::time::Instant;
-
 use crate::model::ids;
 use crate::node::{
-    board, claims, command, decision, edge, group, journal, lead_change, limits, monitor, pool,
-    probe, promotion,
+    board, claims, command, decision, edge, group, journal, lead_change, limits, monitor, notices,
+    pool, probe, promotion,
 };
+use futures::future;
 
 /// Makes and carries out a decision, and undoes its fences if it comes to nothing.
 pub async fn decide<E: edge::NodeEdge>(
@@ -21,7 +19,9 @@
     group: &rc::Rc<group::GroupState>,
     trouble: monitor::GroupTrouble,
 ) -> decision::DecisionEnd {
-    let limit = Instant::now() + limits::DECISION_LIMIT;
+    let limit = board.edge.boot_time() + limits::DECISION_LIMIT;
+    // A promotion of an earlier decision whose end nobody has told may still be carried out.
+    let pending = group.open_change(board::steady_now()).is_some();
     if trouble == monitor::GroupTrouble::Stalled
         && let Some(primary) = replicating_primary(board, group).await
     {
@@ -39,7 +39,8 @@
             },
             monitor::GroupTrouble::NoPrimary
             | monitor::GroupTrouble::Silent
-            | monitor::GroupTrouble::Stalled => None,
+            | monitor::GroupTrouble::Stalled
+            | monitor::GroupTrouble::Abandoned => None,
         };
         let change = lead_change::LeadChange {
             ends: group.term(),
@@ -52,19 +53,51 @@
                 return decision::DecisionEnd::GaveUp(error.to_string());
             }
         };
+        group.work_on(number);
         let mut decision = decision::Decision::begin(board, group, number, change, limit);
         decision.report_begun(trouble);
         let end = decision.carry_out(trouble).await;
         fenced.append(&mut decision.fenced);
-        if end == decision::DecisionEnd::Outdated && Instant::now() < limit {
+        if end == decision::DecisionEnd::Outdated && board.edge.boot_time() < limit {
             tokio::time::sleep(limits::LEAD_POLL).await;
             continue;
         }
-        settle(board, group, number, &end, &fenced).await;
+        if pending && !excludes_earlier(&decision, &end).await {
+            return end;
+        }
+        if pending {
+            fenced = replicas(board, group);
+        }
+        settle(board, group, number, &end, fenced).await;
         return end;
     }
 }
 
+/// Makes sure that no promotion of an earlier decision is carried out any more. Returns whether
+/// that is so.
+async fn excludes_earlier<E: edge::NodeEdge>(
+    decision: &decision::Decision<'_, E>,
+    end: &decision::DecisionEnd,
+) -> bool {
+    match end {
+        decision::DecisionEnd::Promoted(_) => true,
+        decision::DecisionEnd::Kept(primary) => decision.confirm_lead(primary).await,
+        decision::DecisionEnd::Overtaken
+        | decision::DecisionEnd::Outdated
+        | decision::DecisionEnd::GaveUp(_)
+        | decision::DecisionEnd::Unsettled(_) => false,
+    }
+}
+
+fn replicas<E: edge::NodeEdge>(
+    board: &board::NodeBoard<E>,
+    group: &group::GroupState,
+) -> Vec<rc::Rc<pool::UpstreamPool<E>>> {
+    let mut pools = board.pools_of(&group.group);
+    pools.retain(|pool| !group.is_primary(pool.upstream()));
+    pools
+}
+
 /// Tells all VMs how a decision stands, and lifts its fences if they are not needed any more. They
 /// stay if another VM has begun a decision, which relies on them, and as long as a promotion may
 /// take effect: the old primary has to acknowledge nothing until then.
@@ -73,7 +106,7 @@
     group: &rc::Rc<group::GroupState>,
     number: edge::RevisionNumber,
     end: &decision::DecisionEnd,
-    fenced: &[rc::Rc<pool::UpstreamPool<E>>],
+    fenced: Vec<rc::Rc<pool::UpstreamPool<E>>>,
 ) {
     match end {
         decision::DecisionEnd::Promoted(_) => claims::keep_ending(board, group, number),
@@ -82,15 +115,41 @@
         | decision::DecisionEnd::Outdated
         | decision::DecisionEnd::GaveUp(_) => {
             match claims::end_decision(board, group, number).await {
-                Ok(()) => {}
-                Err(edge::StoreError::Conflict) => return,
-                Err(_unanswered) => claims::keep_ending(board, group, number),
+                Ok(()) => lift(group, number, &fenced).await,
+                Err(edge::StoreError::Conflict) => {}
+                Err(_unanswered) => settle_later(board, group, number, fenced),
             }
-            lift(group, number, fenced).await;
         }
     }
 }
 
+/// Settles a decision while the store is away. Its fences can be lifted before the store is back if
+/// no host of the group knows of a later decision, since nobody else decides.
+fn settle_later<E: edge::NodeEdge>(
+    board: &rc::Rc<board::NodeBoard<E>>,
+    group: &rc::Rc<group::GroupState>,
+    number: edge::RevisionNumber,
+    fenced: Vec<rc::Rc<pool::UpstreamPool<E>>>,
+) {
+    let board = rc::Rc::clone(board);
+    let group = rc::Rc::clone(group);
+    tokio::task::spawn_local(async move {
+        let notice = lead_change::LeadNotice {
+            group: group.group.clone(),
+            number,
+            change: group.open_change(board::steady_now()).unwrap_or_default(),
+        };
+        let replies = notices::tell_hosts(rc::Rc::clone(&board), notice).await;
+        let is_latest = replies.complete && replies.latest <= number;
+        if is_latest {
+            lift(&group, number, &fenced).await;
+        }
+        if claims::await_end(&board, &group, number).await && !is_latest {
+            lift(&group, number, &fenced).await;
+        }
+    });
+}
+
 async fn lift<E: edge::NodeEdge>(
     group: &group::GroupState,
     number: edge::RevisionNumber,
--- a/src/node/group.rs
+++ b/src/node/group.rs
@@ -32,6 +32,8 @@
     decision: cell::Cell<edge::RevisionNumber>,
     decided: cell::Cell<Option<time::Duration>>,
     open_decision: cell::RefCell<Option<OpenDecision>>,
+    /// Latest number with which this VM has decided.
+    worked: cell::Cell<edge::RevisionNumber>,
     /// Last position that the next primary is known to hold.
     kept: cell::Cell<Option<log_position::LogPosition>>,
     /// Whether a commit is being looked for at the next primary.
@@ -58,6 +60,7 @@
             decision: cell::Cell::default(),
             decided: cell::Cell::default(),
             open_decision: cell::RefCell::default(),
+            worked: cell::Cell::default(),
             kept: cell::Cell::default(),
             looking: cell::Cell::default(),
             settled: cell::Cell::default(),
@@ -226,6 +229,28 @@
         (now.saturating_sub(open.seen) < limits::DECISION_EXPIRY).then(|| open.change.clone())
     }
 
+    /// Tells whether a decision has been under way for longer than one takes: its VM has died or
+    /// could not tell its end.
+    #[must_use]
+    pub fn is_abandoned(&self, now: time::Duration) -> bool {
+        let open = self.open_decision.borrow();
+        open.as_ref().is_some_and(|open| {
+            let age = now.saturating_sub(open.seen);
+            age > limits::DECISION_ABANDONED && age < limits::DECISION_EXPIRY
+        })
+    }
+
+    /// Notes the number with which this VM decides.
+    pub fn work_on(&self, number: edge::RevisionNumber) {
+        self.worked.set(number);
+    }
+
+    /// Returns the latest number with which this VM has decided.
+    #[must_use]
+    pub fn worked(&self) -> edge::RevisionNumber {
+        self.worked.get()
+    }
+
     /// Notes that the next primary holds a position, and with it all earlier ones of its term.
     pub fn note_kept(&self, position: log_position::LogPosition) {
         self.kept.set(self.kept.get().max(Some(position)));
--- a/src/node/limits.rs
+++ b/src/node/limits.rs
@@ -89,17 +89,23 @@
 /// Time after which a decision whose end nobody has told counts as over. A call for a promotion
 /// that was not answered may be carried out seconds later.
 pub const DECISION_EXPIRY: Duration = Duration::from_secs(10);
+/// Time after which a decision whose end nobody has told is taken over by another VM.
+pub const DECISION_ABANDONED: Duration = Duration::from_secs(4);
 /// Time within which an accepted promotion has to take effect.
 pub const LEAD_LIMIT: Duration = Duration::from_millis(2_500);
 /// Time within which the other hosts of a group confirm that they know of a decision.
 pub const NOTICE_TIMEOUT: Duration = Duration::from_millis(100);
 /// Time within which a VM has to know the list of upstreams as of its decision.
-pub const LIST_TIMEOUT: Duration = Duration::from_millis(300);
+pub const LIST_TIMEOUT: Duration = Duration::from_millis(800);
+/// Time between two answers of the store after which it may have been away.
+pub const CONTACT_GAP: Duration = Duration::from_millis(1_000);
+/// Longest wait of one watch while the list may be incomplete.
+pub const FIRST_WATCH_WAIT: Duration = Duration::from_millis(400);
 /// Time without an answer from another data centre, nor from the store, after which a VM may have
 /// missed a decision.
 pub const DOUBT_AFTER: Duration = Duration::from_millis(450);
 /// Pause between two questions whether an upstream holds a commit.
-pub const HOLD_POLL: Duration = Duration::from_millis(8);
+pub const HOLD_POLL: Duration = Duration::from_millis(15);
 /// Time for which a new primary that lacks a commit is asked again, since it may still apply it.
 pub const HOLD_PATIENCE: Duration = Duration::from_millis(200);
 /// Time within which the store has to give the number of a decision.
--- a/src/node/monitor.rs
+++ b/src/node/monitor.rs
@@ -20,6 +20,8 @@
     Stalled,
     /// The primary is leaving.
     Leaving,
+    /// A decision of another VM was begun and not ended.
+    Abandoned,
 }
 
 /// Watches a group as long as the node runs.
@@ -122,8 +124,10 @@
     if group.commit_stall(now) > limits::COMMIT_STALL {
         return Some(GroupTrouble::Stalled);
     }
-    pool.read_entry(|entry| entry.leaving)
-        .then_some(GroupTrouble::Leaving)
+    if pool.read_entry(|entry| entry.leaving) {
+        return Some(GroupTrouble::Leaving);
+    }
+    group.is_abandoned(now).then_some(GroupTrouble::Abandoned)
 }
 
 fn is_due<E: edge::NodeEdge>(
--- a/src/node/notices.rs
+++ b/src/node/notices.rs
@@ -10,12 +10,20 @@
 use crate::link::{server, stream_kind};
 use crate::node::{board, edge, journal, lead_change, limits};
 
-/// Tells the other hosts, and waits a while for them to confirm it. Returns the highest number of
-/// a decision that any of them knows.
+/// What the other hosts of a group said to a notice.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct NoticeReplies {
+    /// Highest number of a decision that one of them knows.
+    pub latest: edge::RevisionNumber,
+    /// Whether all of them have replied.
+    pub complete: bool,
+}
+
+/// Tells the other hosts, and waits a while for them to confirm it.
 pub async fn tell_hosts<E: edge::NodeEdge>(
     board: rc::Rc<board::NodeBoard<E>>,
     notice: lead_change::LeadNotice,
-) -> edge::RevisionNumber {
+) -> NoticeReplies {
     let hosts = board.ordered_hosts(&notice.group);
     let told = hosts.iter().map(|host| async {
         let told = tell(&board, host, &notice);
@@ -39,7 +47,10 @@
         }
     });
     let numbers = future::join_all(told).await;
-    numbers.into_iter().flatten().max().unwrap_or_default()
+    NoticeReplies {
+        latest: numbers.iter().flatten().copied().max().unwrap_or_default(),
+        complete: numbers.iter().all(Option::is_some),
+    }
 }
 
 async fn tell<E: edge::NodeEdge>(
