Log when and why an upstream stops or begins to answer a keeper

a_thawed_primary_acknowledges_nothing failed once, and the keepers' logs at level info did not tell why no keeper made the thawed primary follow: failed probes are logged at level debug only.

Change: the prober logs the first result of each kind (probe_answered at info, probe_failed at warn with the cause), repeated failures at debug as before. The group worker logs upstream_down and upstream_up, since an upstream that counts as down is not told to follow. Conclusion: the fault is not found; the next failure shows whether probes of the thawed primary fail, and how.

--- a/src/decide/failover.rs
+++ b/src/decide/failover.rs
@@ -96,6 +96,12 @@
         Some((view.answered && !view.down, view.state.as_ref()))
     }
 
+    /// Tells whether an upstream counts as down, which also keeps it from being told to follow.
+    #[must_use]
+    pub fn is_down(&self, upstream: &str) -> bool {
+        self.members.get(upstream).is_some_and(|view| view.down)
+    }
+
     /// Asks for a planned move, to `target` if one is named.
     pub fn request_move(&mut self, target: Option<ids::UpstreamId>, now: time::Duration) {
         self.outcome = None;
--- a/src/keeper/group_worker.rs
+++ b/src/keeper/group_worker.rs
@@ -64,6 +64,7 @@
         collections::BTreeMap<ids::UpstreamId, (std::net::SocketAddr, tokio::task::AbortHandle)>,
     move_reply: Option<tokio::sync::oneshot::Sender<failover_event::MoveOutcome>>,
     announced: (Option<ids::UpstreamId>, ids::TermNumber),
+    announced_down: collections::BTreeSet<ids::UpstreamId>,
 }
 
 impl Drop for GroupWorker {
@@ -96,6 +97,7 @@
             probers: collections::BTreeMap::new(),
             move_reply: None,
             announced: (None, 0),
+            announced_down: collections::BTreeSet::new(),
         };
         worker.adopt();
         let mut ticks = tokio::time::interval(TICK_INTERVAL);
@@ -278,7 +280,28 @@
         });
     }
 
+    /// Logs each upstream that has begun or ceased to count as down.
+    fn log_down(&mut self) {
+        let group = &self.assignment.group.group;
+        let down: collections::BTreeSet<_> = self
+            .assignment
+            .members
+            .iter()
+            .map(|member| &member.upstream)
+            .filter(|upstream| self.decisions.is_down(upstream))
+            .cloned()
+            .collect();
+        for upstream in down.difference(&self.announced_down) {
+            event::warn("upstream_down", &[("group", group), ("upstream", upstream)]);
+        }
+        for upstream in self.announced_down.difference(&down) {
+            event::info("upstream_up", &[("group", group), ("upstream", upstream)]);
+        }
+        self.announced_down = down;
+    }
+
     fn report(&mut self) {
+        self.log_down();
         let primary = self
             .decisions
             .primary()
--- a/src/keeper/prober.rs
+++ b/src/keeper/prober.rs
@@ -1,6 +1,7 @@
 //! Probes one upstream: long polls on one control connection, checked by a fresh connection when
 //! they fall silent.
 
+use std::mem;
 use std::net;
 use std::time;
 
@@ -60,29 +61,21 @@
         let mut link: Option<(upstream_control::UpstreamControl, u64)> = None;
         let mut silent_since: Option<tokio::time::Instant> = None;
         let mut failures: u32 = 0;
+        let mut last = None;
         loop {
             let begun = tokio::time::Instant::now();
             let result = match link.take() {
                 None => self.look(self.silence()).await,
                 Some((control, version)) => self.poll(control, version).await,
             };
-            let outcome = match result {
+            let (outcome, cause) = match result {
                 Ok((control, state)) => {
                     silent_since = None;
                     link = Some((control, state.version));
-                    failover_event::ProbeResult::Answered(state)
+                    (failover_event::ProbeResult::Answered(state), None)
                 }
                 Err(error) => {
-                    let peer = self.address;
-                    event::debug(
-                        "probe_failed",
-                        &[
-                            ("upstream", &self.upstream),
-                            ("peer", &peer),
-                            ("cause", &error),
-                        ],
-                    );
-                    match error {
+                    let outcome = match error {
                         upstream_control::ControlError::Refused { .. } => {
                             failover_event::ProbeResult::Refused
                         }
@@ -95,9 +88,13 @@
                             silent_since = None;
                             failover_event::ProbeResult::Alive
                         }
-                    }
+                    };
+                    (outcome, Some(error))
                 }
             };
+            let kind = mem::discriminant(&outcome);
+            let is_change = last.replace(kind) != Some(kind);
+            self.log_outcome(cause.as_ref(), is_change);
             let pause = match outcome {
                 failover_event::ProbeResult::Answered(_) => {
                     failures = 0;
@@ -118,6 +115,25 @@
         }
     }
 
+    /// Logs a change of the result at a level that is on by default, so that a log tells since when
+    /// and why an upstream does not answer; repeated failures only at level `debug`.
+    fn log_outcome(&self, cause: Option<&upstream_control::ControlError>, is_change: bool) {
+        let (upstream, peer) = (&self.upstream, &self.address);
+        match cause {
+            None if is_change => {
+                event::info("probe_answered", &[("upstream", upstream), ("peer", peer)]);
+            }
+            None => {}
+            Some(cause) => {
+                let log = if is_change { event::warn } else { event::debug };
+                log(
+                    "probe_failed",
+                    &[("upstream", upstream), ("peer", peer), ("cause", cause)],
+                );
+            }
+        }
+    }
+
     const fn silence(&self) -> time::Duration {
         time::Duration::from_millis(self.times.silence_ms)
     }
