Test that a thawed primary is told to follow until it does

Looked for the cause of the one failure of a_thawed_primary_acknowledges_nothing, in which no keeper told the thawed primary to follow; not found.

Ruled out by reading: waits without a timeout in the prober and in the task that carries an order out; an older state version, as the known one already lacks the term; a rank or a lease, as every rank orders after its delay. Conclusion: with the primary known, nothing in the decisions but "down" keeps an order back, so the probes of the thawed primary probably failed for all three keepers.

--- a/tests/failover.rs
+++ b/tests/failover.rs
@@ -101,6 +101,37 @@
     assert_eq!(world.primaries.len(), 2, "one failure makes one promotion");
 }
 
+/// Guards against a thawed primary of an older term that is told to follow only once, or not at all
+/// while it has no free connection for probes, so that an order that fails leaves it behind.
+#[test]
+fn a_thawed_primary_is_told_to_follow_until_it_does() {
+    let mut world = support::World::new();
+    world.settle(None, 100);
+    let old = world.primary().expect("a primary");
+    world.settle(Some(old), 100);
+    assert_ne!(world.primary().expect("a new primary"), old);
+    let name = support::NAMES[old].to_owned();
+    for _ in 0..3 {
+        world.now += support::TIMES.follow_retry;
+        for keeper in 0..2 {
+            let result = failover_event::ProbeResult::Alive;
+            let event = failover_event::FailoverEvent::Probed(name.clone(), result);
+            world.handle(keeper, event, time::Duration::ZERO);
+            world.tick(keeper, time::Duration::ZERO);
+        }
+        // The orders are lost.
+        let ordered = std::mem::take(&mut world.actions)
+            .into_iter()
+            .any(|message| match message.action {
+                failover_event::FailoverAction::Follow(upstream, term, _) => {
+                    upstream == name && term == 2
+                }
+                _ => false,
+            });
+        assert!(ordered, "nobody tells {name} to follow");
+    }
+}
+
 /// Guards against the replacement of a primary that is slow but answers, or whose connections are
 /// all taken.
 #[test]
