Ask one replica after the other while the store is away

A VM whose store is away asks one replica in its list whether it holds a commit. Asking all at once waited for the slowest one, or cost its connection if its answer was given up. The nearest one is asked first now. A decision without an end counts as under way for 15 s, since the platform's calls may be carried out up to 12 s later.

--- a/src/node/acknowledgement.rs
+++ b/src/node/acknowledgement.rs
@@ -96,15 +96,8 @@
             probe::ask_holds(&pool, commit.position).await
         }
         CommitDoubt::Replaced(None) => None,
-        CommitDoubt::Uninformed => {
-            let answers = ask_replicas(board, commit).await;
-            let kept = !answers.is_empty() && answers.iter().all(|holds| *holds == Some(true));
-            kept.then_some(true)
-        }
-        CommitDoubt::WithoutStore => {
-            let answers = ask_replicas(board, commit).await;
-            answers.contains(&Some(true)).then_some(true)
-        }
+        CommitDoubt::Uninformed => all_replicas_hold(board, commit).await.then_some(true),
+        CommitDoubt::WithoutStore => any_replica_holds(board, commit).await.then_some(true),
     };
     drop(guard);
     kept
@@ -153,25 +146,50 @@
     (!board.store_up.get()).then_some(CommitDoubt::WithoutStore)
 }
 
-/// Asks the replicas in the list that stay whether they hold the commit. Whoever replaces the primary
-/// compares all of them.
-async fn ask_replicas<E: edge::NodeEdge>(
+/// Returns the replicas in the list that stay. Whoever replaces the primary compares all of them.
+fn staying_replicas<E: edge::NodeEdge>(
+    board: &board::NodeBoard<E>,
+    commit: &AcknowledgedCommit,
+) -> Vec<rc::Rc<pool::UpstreamPool<E>>> {
+    let mut pools = board.pools_of(&commit.group.group);
+    pools.retain(|pool| {
+        *pool.upstream() != commit.upstream && !pool.read_entry(|entry| entry.leaving)
+    });
+    pools
+}
+
+async fn all_replicas_hold<E: edge::NodeEdge>(
     board: &board::NodeBoard<E>,
     commit: &AcknowledgedCommit,
-) -> Vec<Option<bool>> {
-    let pools: Vec<rc::Rc<pool::UpstreamPool<E>>> = board.pools_of(&commit.group.group);
-    let asked = pools
+) -> bool {
+    let replicas = staying_replicas(board, commit);
+    if replicas.is_empty() || replicas.iter().any(|pool| pool.is_suspect()) {
+        return false;
+    }
+    let asked = replicas
         .iter()
-        .filter(|pool| {
-            *pool.upstream() != commit.upstream && !pool.read_entry(|entry| entry.leaving)
-        })
-        .map(|pool| async {
-            if pool.is_suspect() {
-                return None;
-            }
-            probe::ask_holds(pool, commit.position).await
-        });
-    future::join_all(asked).await
+        .map(|pool| probe::ask_holds(pool, commit.position));
+    let answers = future::join_all(asked).await;
+    answers.into_iter().all(|holds| holds == Some(true))
+}
+
+async fn any_replica_holds<E: edge::NodeEdge>(
+    board: &board::NodeBoard<E>,
+    commit: &AcknowledgedCommit,
+) -> bool {
+    let mut replicas = staying_replicas(board, commit);
+    replicas.retain(|pool| !pool.is_suspect());
+    let is_remote = |pool: &pool::UpstreamPool<E>| {
+        pool.read_entry(|entry| entry.data_centre != board.own.data_centre)
+    };
+    replicas.sort_by_key(|pool| is_remote(pool));
+    // One after the other: giving an answer up would cost its connection.
+    for pool in replicas {
+        if probe::ask_holds(&pool, commit.position).await == Some(true) {
+            return true;
+        }
+    }
+    false
 }
 
 fn report(commit: &AcknowledgedCommit, event: &'static str, what: &str, started: Instant) {
--- a/src/node/limits.rs
+++ b/src/node/limits.rs
@@ -87,8 +87,8 @@
 /// Time within which one decision on a primary has to be carried out.
 pub const DECISION_LIMIT: Duration = Duration::from_millis(2_500);
 /// Time after which a decision whose end nobody has told counts as over. A call for a promotion
-/// that was not answered may be carried out seconds later.
-pub const DECISION_EXPIRY: Duration = Duration::from_secs(10);
+/// that was not answered may be carried out up to 12 s later.
+pub const DECISION_EXPIRY: Duration = Duration::from_secs(15);
 /// Time after which a decision whose end nobody has told is taken over by another VM.
 pub const DECISION_ABANDONED: Duration = Duration::from_secs(4);
 /// Time within which an accepted promotion has to take effect.
