--- a/src/node/decision.rs
+++ b/src/node/decision.rs
@@ -396,7 +396,7 @@
 
     async fn await_lead(&self, upstream: ids::UpstreamId) -> DecisionEnd {
         let limit = Instant::now() + limits::LEAD_LIMIT;
-        while Instant::now() < limit {
+        loop {
             if self.leads(&upstream).await {
                 self.board
                     .set_primary(self.group, Some(&upstream), "promoted");
@@ -405,9 +405,11 @@
             if self.group.decision() != self.number {
                 return DecisionEnd::Overtaken;
             }
+            if Instant::now() >= limit {
+                return DecisionEnd::Unsettled(format!("{upstream} does not lead yet"));
+            }
             tokio::time::sleep(limits::LEAD_POLL).await;
         }
-        DecisionEnd::Unsettled(format!("{upstream} does not lead yet"))
     }
 }
 
