Let the stand-in answer claims late and suspend a VM

Tests of decisions need a claim that the watch shows before its answer, a boot time that goes on while the runtime's clock stands still, and a record of the calls for promotions and of those refused for a later decision.

--- a/standins/src/cluster/cluster_edge.rs
+++ b/standins/src/cluster/cluster_edge.rs
@@ -28,6 +28,8 @@
     /// VM whose edge it is; a test's own edge has no name and is never cut off.
     vm: ids::VmId,
     started: tokio::time::Instant,
+    /// Time for which the VM was suspended: the clock of the runtime stood still.
+    suspended: rc::Rc<cell::Cell<time::Duration>>,
 }
 
 impl ClusterEdge {
@@ -40,6 +42,7 @@
             network: rc::Rc::default(),
             vm: ids::VmId::new(),
             started: tokio::time::Instant::now(),
+            suspended: rc::Rc::default(),
         }
     }
 
@@ -48,10 +51,16 @@
     pub fn for_vm(&self, vm: &str) -> Self {
         Self {
             vm: vm.to_owned(),
+            suspended: rc::Rc::default(),
             ..self.clone()
         }
     }
 
+    /// Has the VM's boot time go on by `length`, as over a suspension of the VM.
+    pub fn suspend(&self, length: time::Duration) {
+        self.suspended.set(self.suspended.get() + length);
+    }
+
     /// Changes the state, lets replicas receive, and wakes what waits for a change.
     pub fn change<T>(&self, change: impl FnOnce(&mut cluster_state::ClusterState) -> T) -> T {
         let mut state = self.state.borrow_mut();
@@ -126,7 +135,7 @@
     type PeerSocket = tokio::io::DuplexStream;
 
     fn boot_time(&self) -> time::Duration {
-        self.started.elapsed()
+        self.started.elapsed() + self.suspended.get()
     }
 
     async fn connect(
@@ -239,7 +248,7 @@
         purpose: &edge::ClaimPurpose,
     ) -> Result<edge::RevisionNumber, edge::StoreError> {
         self.check_store().await?;
-        self.change(|state| {
+        let number = self.change(|state| {
             if state.decision != previous {
                 return Err(edge::StoreError::Conflict);
             }
@@ -257,16 +266,26 @@
             };
             state.record(edge::ControlChange::Decision(group.to_owned(), claim));
             Ok(number)
-        })
+        })?;
+        let delay = self.state.borrow().claim_delay;
+        if !delay.is_zero() {
+            tokio::time::sleep(delay).await;
+        }
+        Ok(number)
     }
 
     async fn promote(
         &self,
         _group: &str,
         upstream: &str,
-        _node: &str,
+        node: &str,
         decision: edge::RevisionNumber,
     ) -> Result<(), edge::PromoteError> {
+        self.state
+            .borrow_mut()
+            .platform
+            .callers
+            .push(node.to_owned());
         if self.is_cut(&cut_table::CutTarget::Platform) {
             return std::future::pending().await;
         }
--- a/standins/src/cluster/cluster_state.rs
+++ b/standins/src/cluster/cluster_state.rs
@@ -29,6 +29,8 @@
     pub store_up: bool,
     /// Time by which watches of the store lag behind its changes.
     pub watch_delay: time::Duration,
+    /// Time from the moment a decision takes its number until the VM is told of it.
+    pub claim_delay: time::Duration,
     /// Instance whose entry is written right before the next decision takes its number.
     pub listed_by_claim: Option<ids::UpstreamId>,
     /// How the platform carries out promotions.
@@ -62,6 +64,7 @@
             decision: 0,
             store_up: true,
             watch_delay: time::Duration::ZERO,
+            claim_delay: time::Duration::ZERO,
             listed_by_claim: None,
             platform: platform_state::PlatformState::default(),
             promotions: Vec::new(),
@@ -283,6 +286,7 @@
         let calls = self.platform.accepted.iter().chain(&self.promotions);
         let newest = calls.map(|(_, number)| *number).max().unwrap_or(0);
         if decision < newest {
+            self.platform.refused.push((name.to_owned(), decision));
             return Err(edge::PromoteError::Refused("a newer decision".to_owned()));
         }
         let call = (name.to_owned(), decision);
--- a/standins/src/cluster/platform_state.rs
+++ b/standins/src/cluster/platform_state.rs
@@ -28,4 +28,8 @@
     pub lost_call_delay: time::Duration,
     /// Calls that were accepted: the instance and the decision.
     pub accepted: Vec<(ids::UpstreamId, edge::RevisionNumber)>,
+    /// Calls that were refused for a later decision: the instance and the decision.
+    pub refused: Vec<(ids::UpstreamId, edge::RevisionNumber)>,
+    /// VMs that called, one entry for each call, whatever came of it.
+    pub callers: Vec<ids::VmId>,
 }
