Test decisions of VMs that may have missed something

Each new test guards against one failure.

The steps of decisions that tests take for another VM move unchanged from tests/node_lost_commits.rs to tests/node_support/decision_steps.rs.

--- /dev/null
+++ b/tests/node_decisions.rs
@@ -0,0 +1,213 @@
+//! Decisions on the primary by VMs that may have missed something, and by one after another.
+
+mod node_support;
+
+use std::time::Duration;
+
+use node_support as support;
+use node_support::decision_steps::{EFFECT_DELAY, claim, cut, fence, is_fenced, start};
+use node_support::told_writes::ToldWrites;
+use persimmontack::node::answers::ErrorCode;
+use persimmontack::node::edge::{ClaimPurpose, ControlChange, NodeEdge, PromoteError};
+use standins::cluster::cluster_edge::ClusterEdge;
+use standins::cluster::cluster_state;
+use standins::cluster::cut_table::CutTarget;
+use standins::cluster::platform_state::PlatformMode;
+use tokio::time::Instant;
+
+/// Time after which a started VM knows the whole list and has a number in reserve.
+const SETTLED_AFTER: Duration = Duration::from_secs(5);
+/// Time within which a test looks for what must not happen.
+const LOOK_TIME: Duration = Duration::from_secs(5);
+const TICK: Duration = Duration::from_millis(5);
+
+/// Returns what the claims that the store has taken were for, oldest first.
+fn purposes(edge: &ClusterEdge) -> Vec<ClaimPurpose> {
+    let state = edge.state.borrow();
+    let claims = state.events.iter().filter_map(|(_, change)| match change {
+        ControlChange::Decision(_, claim) => Some(claim.purpose.clone()),
+        _ => None,
+    });
+    claims.collect()
+}
+
+/// Returns the purposes from the first decision on.
+fn decision_purposes(edge: &ClusterEdge) -> Vec<ClaimPurpose> {
+    let all = purposes(edge);
+    let first = all
+        .iter()
+        .position(|purpose| matches!(purpose, ClaimPurpose::Now(_)));
+    first.map_or_else(Vec::new, |first| all[first..].to_vec())
+}
+
+/// Guards against a VM that takes its own decision for an abandoned one and ends it, since the
+/// watch shows the claim before its answer comes.
+#[test]
+fn a_vm_does_not_end_its_own_decision_while_it_works_on_it() {
+    support::block_on(async {
+        let edge = support::cluster(22);
+        let scene = start(&edge, 1, "dc-b", 1).await;
+        let told = ToldWrites::default();
+        told.keep_writing(&scene);
+        scene.pass(SETTLED_AFTER).await;
+        assert!(told.count() > 10, "the primary serves");
+        edge.change(|state| {
+            state.claim_delay = Duration::from_millis(200);
+            state.platform.promotion_delay = EFFECT_DELAY;
+            state.instance("a").up = false;
+        });
+        let limit = Instant::now() + LOOK_TIME;
+        while scene.promotions().is_empty() {
+            assert!(Instant::now() < limit, "no promotion");
+            let purposes = decision_purposes(&edge);
+            assert!(
+                !purposes.contains(&ClaimPurpose::Ended),
+                "ended before the promotion took effect: {purposes:?}"
+            );
+            scene.pass(TICK).await;
+        }
+        scene.pass(LOOK_TIME).await;
+        let purposes = decision_purposes(&edge);
+        assert!(
+            matches!(
+                purposes.as_slice(),
+                [ClaimPurpose::Now(_), ClaimPurpose::Ended, ..]
+            ),
+            "the decision is ended after the promotion: {purposes:?}"
+        );
+        assert_eq!(scene.promotions().len(), 1);
+        told.check(&edge);
+    });
+}
+
+/// Guards against a promotion that a VM called before it died, and that is carried out after
+/// another VM has kept the primary and lifted the fences.
+#[test]
+fn an_earlier_call_is_refused_once_the_primary_is_kept() {
+    const LATE_AFTER: Duration = Duration::from_secs(8);
+    support::block_on(async {
+        let edge = support::cluster(22);
+        let scene = start(&edge, 1, "dc-a", 1).await;
+        scene.pass(SETTLED_AFTER).await;
+        edge.change(|state| {
+            state.lose_promotions = 1;
+            state.platform.lost_call_delay = LATE_AFTER;
+        });
+        let begun = Instant::now();
+        let decision = claim(&edge, "vm-2", None).await;
+        fence(&edge, &["b", "c"]);
+        let call = edge.promote(cluster_state::GROUP, "b", "vm-2", decision);
+        let lost = call.await;
+        assert!(matches!(lost, Err(PromoteError::NoAnswer(_))), "{lost:?}");
+        scene
+            .until("the fences are lifted", |scene| {
+                !is_fenced(&scene.edge, "b") && !is_fenced(&scene.edge, "c")
+            })
+            .await;
+        assert!(scene.promotions().is_empty());
+        let told = ToldWrites::default();
+        told.keep_writing(&scene);
+        scene.pass(Duration::from_secs(1)).await;
+        assert!(told.count() > 10, "writes succeed again");
+        assert!(begun.elapsed() < LATE_AFTER, "{:?}", begun.elapsed());
+        scene.pass(LATE_AFTER).await;
+        let refused = edge.state.borrow().platform.refused.clone();
+        assert_eq!(refused, [("b".to_owned(), decision)]);
+        assert!(scene.promotions().is_empty(), "{:?}", scene.promotions());
+        assert_eq!(scene.primary(), "a");
+        told.check(&edge);
+    });
+}
+
+/// Has the VM that is about to call the platform suspended for `length`.
+async fn suspend_before_call(length: Duration) {
+    let edge = support::cluster(22);
+    let scene = start(&edge, 1, "dc-b", 1).await;
+    let told = ToldWrites::default();
+    told.keep_writing(&scene);
+    scene.pass(SETTLED_AFTER).await;
+    let calls = || edge.state.borrow().platform.callers.len();
+    edge.change(|state| {
+        state.platform.mode = PlatformMode::Refuses;
+        state.instance("a").up = false;
+    });
+    scene
+        .until("the upstreams are compared", |_scene| calls() > 0)
+        .await;
+    scene.board.edge.suspend(length);
+    cut(&edge, "vm-1", &[CutTarget::Store]);
+    edge.change(|state| state.platform.mode = PlatformMode::Serves);
+    let before = calls();
+    scene.pass(LOOK_TIME).await;
+    assert_eq!(calls(), before, "called after {length:?} of suspension");
+    assert!(scene.promotions().is_empty());
+    edge.network.cuts.heal("vm-1", &CutTarget::Store);
+    scene
+        .until("another leads", |scene| !scene.promotions().is_empty())
+        .await;
+    scene.pass(LOOK_TIME).await;
+    told.check(&edge);
+}
+
+/// Guards against a VM that compares the upstreams, is suspended, and promotes by what it saw
+/// before: another VM may have decided meanwhile.
+#[test]
+fn a_vm_that_was_suspended_calls_no_promotion() {
+    for length in [Duration::from_secs(1), Duration::from_secs(5)] {
+        support::block_on(suspend_before_call(length));
+    }
+}
+
+/// Guards against callers that wait for the store although nothing else is wrong.
+#[test]
+fn commits_are_told_while_the_store_is_away() {
+    const PROMPT: Duration = Duration::from_millis(100);
+    support::block_on(async {
+        let edge = support::cluster(22);
+        let scene = start(&edge, 1, "dc-a", 1).await;
+        let second = start(&edge, 2, "dc-b", 2).await;
+        scene.pass(SETTLED_AFTER).await;
+        edge.change(|state| state.store_up = false);
+        let told = ToldWrites::default();
+        for vm in [&scene, &second] {
+            vm.until("the store is missed", |vm| !vm.board.store_up.get())
+                .await;
+            let mut caller = vm.caller(support::LATEST).await;
+            for number in 0..100 {
+                let sent = Instant::now();
+                let data = format!("{}-{number}", vm.board.node);
+                support::rows(&told.write(&mut caller, &data).await);
+                assert!(sent.elapsed() < PROMPT, "{:?}", sent.elapsed());
+                vm.pass(TICK * 10).await;
+            }
+        }
+        assert!(scene.promotions().is_empty());
+        told.check(&edge);
+    });
+}
+
+/// Guards against a VM that cannot hear of a decision from the store, and tells a commit which no
+/// replica of its list has received.
+#[test]
+fn a_commit_that_an_unlisted_replica_alone_holds_is_not_told_without_the_store() {
+    support::block_on(async {
+        let edge = support::cluster(22);
+        let scene = start(&edge, 1, "dc-a", 1).await;
+        scene.pass(SETTLED_AFTER).await;
+        edge.change(|state| state.store_up = false);
+        scene
+            .until("the store is missed", |scene| !scene.board.store_up.get())
+            .await;
+        let mut caller = scene.caller(support::LATEST).await;
+        let told = ToldWrites::default();
+        support::rows(&told.write(&mut caller, "before").await);
+        fence(&edge, &["b"]);
+        edge.change(|state| {
+            state.instance("c").receives = false;
+            state.add_replica("d");
+        });
+        let answer = told.write(&mut caller, "only d has it").await;
+        assert_eq!(edge.state.borrow().acknowledged.len(), 2);
+        assert_eq!(support::code(&answer), ErrorCode::Unknown);
+    });
+}
--- a/tests/node_lost_commits.rs
+++ b/tests/node_lost_commits.rs
@@ -5,88 +5,21 @@
 use std::time::Duration;
 
 use node_support as support;
+use node_support::decision_steps::{
+    EFFECT_DELAY, claim, cut, fence, instances, is_fenced, promote, start,
+};
 use node_support::told_writes::ToldWrites;
 use persimmontack::node::answers::ErrorCode;
-use persimmontack::node::edge::{ClaimPurpose, NodeEdge, RevisionNumber};
-use persimmontack::node::lead_change::LeadChange;
 use persimmontack::node::limits;
-use standins::cluster::cluster_edge::ClusterEdge;
 use standins::cluster::cluster_state;
 use standins::cluster::cut_table::CutTarget;
 
-/// Time from the answer to a call for a promotion until it takes effect.
-const EFFECT_DELAY: Duration = Duration::from_millis(600);
 /// Time after which a VM has seen a change of the store.
 const SEEN_AFTER: Duration = Duration::from_millis(200);
 /// Time within which a test looks for what must not happen.
 const LOOK_TIME: Duration = Duration::from_secs(5);
 const TICK: Duration = Duration::from_millis(5);
 
-/// Begins a decision of `vm` on the first term, as the store shows it.
-async fn claim(edge: &ClusterEdge, vm: &str, successor: Option<&str>) -> RevisionNumber {
-    let previous = edge.state.borrow().decision;
-    let purpose = ClaimPurpose::Now(LeadChange {
-        ends: 1,
-        successor: successor.map(str::to_owned),
-    });
-    edge.claim_decision(cluster_state::GROUP, vm, previous, &purpose)
-        .await
-        .expect("a number")
-}
-
-/// Has the platform promote an instance for `vm`.
-async fn promote(edge: &ClusterEdge, vm: &str, upstream: &str, decision: RevisionNumber) {
-    edge.change(|state| state.platform.promotion_delay = EFFECT_DELAY);
-    edge.promote(cluster_state::GROUP, upstream, vm, decision)
-        .await
-        .expect("an accepted call");
-}
-
-fn fence(edge: &ClusterEdge, names: &[&str]) {
-    edge.change(|state| {
-        for name in names {
-            let replica = state.instance(name);
-            replica.fenced = replica.term + 1;
-        }
-    });
-}
-
-fn is_fenced(edge: &ClusterEdge, name: &str) -> bool {
-    edge.state.borrow_mut().instance(name).fenced > 0
-}
-
-fn cut(edge: &ClusterEdge, vm: &str, targets: &[CutTarget]) {
-    for target in targets {
-        edge.network.cuts.cut(vm, target);
-    }
-}
-
-fn instances(names: &[&str]) -> Vec<CutTarget> {
-    names
-        .iter()
-        .map(|name| CutTarget::Instance((*name).to_owned()))
-        .collect()
-}
-
-/// Starts VM `number` and waits until it knows the primary and `members` VMs.
-async fn start(
-    edge: &ClusterEdge,
-    number: u16,
-    data_centre: &str,
-    members: usize,
-) -> support::Scene {
-    let scene = support::start(edge, number, data_centre);
-    scene
-        .until("the VM knows the primary and the others", |scene| {
-            let group = scene.board.group(cluster_state::GROUP);
-            scene.primary() == "a"
-                && group.newest().is_some()
-                && scene.board.members().len() == members
-        })
-        .await;
-    scene
-}
-
 /// Guards against the loss of incident inc1 on psalmhand-kgn: a VM takes the part of the list that
 /// it has seen for the whole group, and promotes a replica while the primary serves.
 #[test]
--- a/tests/node_support/mod.rs
+++ b/tests/node_support/mod.rs
@@ -3,6 +3,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
+pub mod decision_steps;
 pub mod told_writes;
 
 use std::net::SocketAddr;
