Add a test of a partial list before an outage, which fails

A VM that has read a part of the list right before the store goes away takes it for the whole after 2.5 s, and promotes b once the store is back, while the primary serves: NodeBoard::knows_all looks at the time alone, and the time of following the list starts anew only if the list did not count as complete by then.

--- a/tests/node_decisions.rs
+++ b/tests/node_decisions.rs
@@ -80,6 +80,62 @@
     });
 }
 
+/// Has a VM start on a part of the list, right before the store is away for `outage`, and returns
+/// the promotions that come of it while the primary serves at another VM.
+async fn promotions_after_outage(outage: Duration) -> Vec<String> {
+    let edge = support::cluster(22);
+    let first = start(&edge, 1, "dc-a", 1).await;
+    let told = ToldWrites::default();
+    told.keep_writing(&first);
+    first.pass(SETTLED_AFTER).await;
+    for name in ["a", "c"] {
+        edge.change(|state| state.unlist(name));
+    }
+    let second = support::start(&edge, 2, "dc-b");
+    second
+        .until("a part of the list is known", |second| {
+            second.board.pool("b").is_some()
+        })
+        .await;
+    assert!(second.board.pool("a").is_none());
+    for vm in ["vm-1", "vm-2"] {
+        cut(&edge, vm, &[CutTarget::Store]);
+    }
+    second.pass(outage).await;
+    for vm in ["vm-1", "vm-2"] {
+        edge.network.cuts.heal(vm, &CutTarget::Store);
+    }
+    second.pass(Duration::from_secs(1)).await;
+    for name in ["a", "c"] {
+        edge.change(|state| state.list(name));
+    }
+    let before = told.count();
+    second.pass(LOOK_TIME).await;
+    assert!(told.count() > before + 10, "the primary serves");
+    told.check(&edge);
+    second.promotions()
+}
+
+/// Guards against a VM that counts an outage of the store as time in which it has followed the
+/// list, takes a part of the list for the whole, and promotes a replica while the primary serves.
+#[test]
+fn a_list_that_was_read_before_an_outage_is_not_complete_after_it() {
+    const OUTAGE: Duration = Duration::from_secs(5);
+    const STEP: Duration = Duration::from_millis(100);
+    const OUTAGES: u32 = 15;
+    let mut wrong = Vec::new();
+    for step in 0..OUTAGES {
+        let outage = OUTAGE + STEP * step;
+        support::block_on(async {
+            let promotions = promotions_after_outage(outage).await;
+            if !promotions.is_empty() {
+                wrong.push((outage, promotions));
+            }
+        });
+    }
+    assert!(wrong.is_empty(), "promotions after outages: {wrong:?}");
+}
+
 /// Guards against a promotion that a VM called before it died, and that is carried out after
 /// another VM has kept the primary and lifted the fences.
 #[test]
