Count the list as complete only by an answer of the store

Cause: the time since the first answer was measured, not the time over which the store had answered. Change: an answer makes the list complete, and a gap of more than a second starts the time anew; the watch waits no longer than what is missing.

--- a/src/node/board.rs
+++ b/src/node/board.rs
@@ -54,8 +54,10 @@
     pub refresh: Notify,
     /// Revision of the store that the tables show.
     pub revision: cell::Cell<edge::RevisionNumber>,
-    /// When the store was first read, by the steady clock.
+    /// Since when the list of upstreams has been followed, by the steady clock.
     pub listed_since: cell::Cell<Option<time::Duration>>,
+    /// Whether the list has been followed for long enough to have every upstream.
+    pub list_complete: cell::Cell<bool>,
     /// Sessions that are open.
     pub sessions: cell::Cell<u32>,
 }
@@ -81,6 +83,7 @@
             refresh: Notify::new(),
             revision: cell::Cell::default(),
             listed_since: cell::Cell::default(),
+            list_complete: cell::Cell::default(),
             sessions: cell::Cell::default(),
         })
     }
@@ -238,12 +241,23 @@
             .is_ok()
     }
 
-    /// Tells whether the list has been followed for long enough to know every upstream. Entries
+    /// Tells whether the list has been followed for long enough to have every upstream. Entries
     /// that lapse while the store is away come back a while after it.
     #[must_use]
-    pub fn knows_all(&self) -> bool {
-        self.list_age()
-            .is_some_and(|age| age >= limits::STORE_RETURN)
+    pub const fn knows_all(&self) -> bool {
+        self.list_complete.get()
+    }
+
+    /// Notes an answer of the store; `was_away` says that it may have been away before. Only
+    /// answers show that the list was followed: the time may have passed in an outage.
+    pub fn note_list(&self, was_away: bool) {
+        if self.knows_all() {
+            return;
+        }
+        match self.list_age() {
+            Some(age) if !was_away => self.list_complete.set(age >= limits::STORE_RETURN),
+            _ => self.listed_since.set(Some(steady_now())),
+        }
     }
 
     /// Returns for how long the list of upstreams has been followed.
--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -102,12 +102,9 @@
     /// Notes that the tables show a revision, by a call that began at `asked`.
     fn note_revision(&mut self, revision: edge::RevisionNumber, asked: time::Duration) {
         self.board.revision.set(revision);
-        // An outage in which entries lapse must not count as time in which they could come back.
         let answered = self.answered.replace(Instant::now());
         let was_away = answered.is_none_or(|answered| answered.elapsed() > limits::CONTACT_GAP);
-        if was_away && !self.board.knows_all() {
-            self.board.listed_since.set(Some(board::steady_now()));
-        }
+        self.board.note_list(was_away);
         if self.board.isolation.note_answer(asked) {
             let now = board::steady_now();
             for pool in self.board.pools() {
@@ -122,7 +119,8 @@
         let longest = if self.board.knows_all() {
             limits::WATCH_WAIT
         } else {
-            limits::FIRST_WATCH_WAIT
+            let age = self.board.list_age().unwrap_or_default();
+            limits::FIRST_WATCH_WAIT.min(limits::STORE_RETURN.saturating_sub(age))
         };
         self.vanished
             .values()
