--- a/src/node/decision.rs
+++ b/src/node/decision.rs
@@ -1,4 +1,7 @@
 //! [`Decision`]: one decision on the primary of a group, from its number to the promotion.
+//!
+//! Replicas are fenced and compared after the number was drawn, so that a decision never acts on
+//! what was seen before an earlier one. See `docs/node.md`, "Failover".
 
 use std::rc;
 use std::time;
--- a/src/node/failover.rs
+++ b/src/node/failover.rs
@@ -1,19 +1,19 @@
-//! Carries out one decision on the primary of a group.
+//! Makes decisions on the primary of a group, and settles what is left of them.
 //!
 //! A decision has a number from the store, which the platform checks; a later decision has a higher
-//! one. Replicas are fenced and compared after the number was drawn, so that a decision never acts
-//! on what was seen before an earlier one. See `docs/node.md`, "Failover".
+//! one. [`decision`] carries one out. See `docs/node.md`, "Failover".
 
 use std::rc;
 
+use futures::future;
+
 use crate::model::ids;
 use crate::node::{
     board, claims, command, decision, edge, group, journal, lead_change, limits, monitor, notices,
     pool, probe, promotion,
 };
-use futures::future;
 
-/// Makes and carries out a decision, and undoes its fences if it comes to nothing.
+/// Makes a decision, has it carried out, and settles it.
 pub async fn decide<E: edge::NodeEdge>(
     board: &rc::Rc<board::NodeBoard<E>>,
     group: &rc::Rc<group::GroupState>,
