Have one VM at a time decide, and end decisions that came to nothing

A decision that came to nothing after one without an end was not ended either.

Change: a decision is due as of a number and does not follow a later one. An overtaken one stops. One that comes to nothing has the platform confirm the primary, if an earlier one has no end, waits until a promotion that was accepted before would have taken effect, and is ended. A primary that leaves is replaced as soon as no decision is open.

Before: vms_that_are_due_at_once_make_one_decision fails with "a decision was begun while another one was open". After: it passes, as do all tests of the node.

--- a/src/node/claims.rs
+++ b/src/node/claims.rs
@@ -31,7 +31,8 @@
     Ok(number)
 }
 
-/// Takes the number of a decision from the store, or the one in reserve while the store is away.
+/// Takes the number of a decision from the store, unless one has been taken after `previous`, or
+/// the one in reserve while the store is away.
 ///
 /// With a number in reserve, this VM may decide beside another one that reaches the store. Both
 /// compare the same fenced replicas and choose the same successor, so a failover may use it; a
@@ -43,10 +44,11 @@
 pub async fn take_number<E: edge::NodeEdge>(
     board: &board::NodeBoard<E>,
     group: &group::GroupState,
+    previous: edge::RevisionNumber,
     change: &lead_change::LeadChange,
 ) -> Result<edge::RevisionNumber, ClaimError> {
     let purpose = edge::ClaimPurpose::Now(change.clone());
-    let error = match claim(board, group, group.decision(), &purpose).await {
+    let error = match claim(board, group, previous, &purpose).await {
         Ok(number) => return Ok(number),
         Err(edge::StoreError::Conflict) => return Err(ClaimError::Overtaken),
         Err(error) => error,
--- a/src/node/decision.rs
+++ b/src/node/decision.rs
@@ -184,6 +184,9 @@
 
     /// Waits a moment for what is missing, unless the time is up.
     async fn pause(&self, missing: impl FnOnce() -> String) -> Result<(), DecisionEnd> {
+        if self.group.decision() != self.number {
+            return Err(DecisionEnd::Overtaken);
+        }
         if self.is_late() {
             return Err(DecisionEnd::GaveUp(missing()));
         }
@@ -360,9 +363,14 @@
     }
 
     /// Has the platform confirm the present primary, so that it refuses calls of earlier decisions
-    /// from then on.
+    /// from then on. Returns whether the primary still leads once those that it had accepted would
+    /// have taken effect.
     pub async fn confirm_lead(&self, primary: &ids::UpstreamId) -> bool {
-        self.call(primary).await.is_ok()
+        if !self.leads(primary).await || self.call(primary).await.is_err() {
+            return false;
+        }
+        tokio::time::sleep(limits::PROMOTE_EFFECT).await;
+        self.leads(primary).await
     }
 
     async fn call(&self, upstream: &ids::UpstreamId) -> Result<(), edge::PromoteError> {
--- a/src/node/failover.rs
+++ b/src/node/failover.rs
@@ -13,11 +13,13 @@
     pool, probe, promotion,
 };
 
-/// Makes a decision, has it carried out, and settles it.
+/// Makes a decision, has it carried out, and settles it. It is due as of the number `previous`; if
+/// another VM has taken one since, that one decides.
 pub async fn decide<E: edge::NodeEdge>(
     board: &rc::Rc<board::NodeBoard<E>>,
     group: &rc::Rc<group::GroupState>,
     trouble: monitor::GroupTrouble,
+    mut previous: edge::RevisionNumber,
 ) -> decision::DecisionEnd {
     let limit = board.edge.boot_time() + limits::DECISION_LIMIT;
     // A promotion of an earlier decision whose end nobody has told may still be carried out.
@@ -46,13 +48,14 @@
             ends: group.term(),
             successor,
         };
-        let number = match claims::take_number(board, group, &change).await {
+        let number = match claims::take_number(board, group, previous, &change).await {
             Ok(number) => number,
             Err(claims::ClaimError::Overtaken) => return decision::DecisionEnd::Overtaken,
             Err(error @ claims::ClaimError::Store(_)) => {
                 return decision::DecisionEnd::GaveUp(error.to_string());
             }
         };
+        previous = number;
         group.work_on(number);
         let mut decision = decision::Decision::begin(board, group, number, change, limit);
         decision.report_begun(trouble);
@@ -62,7 +65,7 @@
             tokio::time::sleep(limits::LEAD_POLL).await;
             continue;
         }
-        if pending && !excludes_earlier(&decision, &end).await {
+        if pending && !excludes_earlier(group, &decision, &end).await {
             return end;
         }
         if pending {
@@ -76,16 +79,19 @@
 /// Makes sure that no promotion of an earlier decision is carried out any more. Returns whether
 /// that is so.
 async fn excludes_earlier<E: edge::NodeEdge>(
+    group: &group::GroupState,
     decision: &decision::Decision<'_, E>,
     end: &decision::DecisionEnd,
 ) -> bool {
     match end {
         decision::DecisionEnd::Promoted(_) => true,
-        decision::DecisionEnd::Kept(primary) => decision.confirm_lead(primary).await,
-        decision::DecisionEnd::Overtaken
+        decision::DecisionEnd::Kept(_)
         | decision::DecisionEnd::Outdated
-        | decision::DecisionEnd::GaveUp(_)
-        | decision::DecisionEnd::Unsettled(_) => false,
+        | decision::DecisionEnd::GaveUp(_) => match group.primary() {
+            Some(primary) => decision.confirm_lead(&primary).await,
+            None => false,
+        },
+        decision::DecisionEnd::Overtaken | decision::DecisionEnd::Unsettled(_) => false,
     }
 }
 
--- a/src/node/limits.rs
+++ b/src/node/limits.rs
@@ -91,6 +91,8 @@
 pub const DECISION_EXPIRY: Duration = Duration::from_secs(15);
 /// Time after which a decision whose end nobody has told is taken over by another VM.
 pub const DECISION_ABANDONED: Duration = Duration::from_secs(4);
+/// Time after which an accepted promotion has usually taken effect.
+pub const PROMOTE_EFFECT: Duration = Duration::from_millis(900);
 /// Time within which an accepted promotion has to take effect.
 pub const LEAD_LIMIT: Duration = Duration::from_millis(2_500);
 /// Time within which the other hosts of a group confirm that they know of a decision.
--- a/src/node/monitor.rs
+++ b/src/node/monitor.rs
@@ -101,7 +101,7 @@
             _ => now,
         };
         since = Some((trouble, begun));
-        if group.is_deciding() || !is_due(&board, &group, begun, now) {
+        if group.is_deciding() || !is_due(&board, &group, trouble, begun, now) {
             continue;
         }
         since = None;
@@ -133,6 +133,7 @@
 fn is_due<E: edge::NodeEdge>(
     board: &board::NodeBoard<E>,
     group: &group::GroupState,
+    trouble: GroupTrouble,
     begun: time::Duration,
     now: time::Duration,
 ) -> bool {
@@ -141,9 +142,11 @@
     let is_recent = |moment: Option<time::Duration>, span: time::Duration| {
         moment.is_some_and(|moment| now.saturating_sub(moment) < span)
     };
+    // An upstream that leaves may have had to take over, and has to hand over in time.
+    let is_over = trouble == GroupTrouble::Leaving && group.open_change(now).is_none();
     now.saturating_sub(begun) >= patience
         && !is_recent(group.settled(), limits::PROMOTION_SETTLE)
-        && !is_recent(group.decided(), limits::DECISION_RESPECT)
+        && (is_over || !is_recent(group.decided(), limits::DECISION_RESPECT))
 }
 
 fn decide<E: edge::NodeEdge>(
@@ -152,10 +155,11 @@
     trouble: GroupTrouble,
 ) {
     group.set_deciding(true);
+    let previous = group.decision();
     let board = rc::Rc::clone(board);
     let group = rc::Rc::clone(group);
     tokio::task::spawn_local(async move {
-        let end = failover::decide(&board, &group, trouble).await;
+        let end = failover::decide(&board, &group, trouble, previous).await;
         journal::warn(
             "decision_ended",
             &[
--- a/tests/node_decisions.rs
+++ b/tests/node_decisions.rs
@@ -267,3 +267,40 @@
         assert_eq!(support::code(&answer), ErrorCode::Unknown);
     });
 }
+
+/// Guards against the storm seen on bbx-austin, seed 13 of deploy/days/release-within-a-cut.toml:
+/// several VMs that became due at the same moment took numbers one after the other, each fenced the
+/// successor of the one before, and the primary that left was not replaced in time.
+#[test]
+fn vms_that_are_due_at_once_make_one_decision() {
+    support::block_on(async {
+        let edge = support::cluster(22);
+        let mut scenes = Vec::new();
+        for number in 1..=5 {
+            scenes.push(support::start(&edge, number, "dc-b"));
+        }
+        scenes[0].pass(SETTLED_AFTER).await;
+        edge.change(|state| {
+            state.instance("c").up = false;
+            state.change_entry("a", |entry| entry.leaving = true);
+        });
+        scenes[0].pass(LOOK_TIME * 4).await;
+        let mut open = false;
+        for purpose in decision_purposes(&edge) {
+            match purpose {
+                ClaimPurpose::Now(_) => {
+                    assert!(!open, "a decision was begun while another one was open");
+                    open = true;
+                }
+                ClaimPurpose::Ended => open = false,
+                ClaimPurpose::Reserve => {}
+            }
+        }
+        edge.change(|state| state.instance("c").up = true);
+        scenes[0]
+            .until("another leads", |scene| {
+                !matches!(scene.primary().as_str(), "" | "a")
+            })
+            .await;
+    });
+}
