Log lost watches of the store apart from outages

Two hypotheses on configurations that come into force late after an outage of the store could not be told apart: a watch that waits and one that is dead leave the same lines, none. The node logs watch_failed with how long the watch waited and whether the store answered another call of the VM meanwhile; store_regained says how long the store was away and how many changes came at once; persimmontack_list_age_seconds and persimmontack_watches_failed_total show the same as metrics.

No behaviour changes.

--- a/src/node/gauges.rs
+++ b/src/node/gauges.rs
@@ -5,6 +5,8 @@
 /// Updates all gauges.
 pub fn update<E: edge::NodeEdge>(tables: &node_tables::NodeTables<E>) {
     metrics::gauge!("persimmontack_sessions").set(f64::from(tables.sessions.get()));
+    let list_age = tables.isolation.store_answer_age(tables.edge.boot_time());
+    metrics::gauge!("persimmontack_list_age_seconds").set(list_age.as_secs_f64());
     metrics::gauge!("persimmontack_members").set(f64::from(tables.member_count()));
     for pool in tables.pools() {
         let upstream = pool.upstream().clone();
--- a/src/node/node_tables.rs
+++ b/src/node/node_tables.rs
@@ -65,6 +65,8 @@
     pub changed: Notify,
     /// Whether the last call to the store succeeded.
     pub store_available: cell::Cell<bool>,
+    /// When the store last answered any call of this VM, by the monotonic clock.
+    pub store_contact: cell::Cell<Option<time::Duration>>,
     /// Requests an immediate refresh of the tables from the store.
     pub refresh: Notify,
     /// Revision of the store that the tables reflect.
@@ -95,6 +97,7 @@
             budget: cell::RefCell::default(),
             changed: Notify::new(),
             store_available: cell::Cell::default(),
+            store_contact: cell::Cell::default(),
             refresh: Notify::new(),
             revision: cell::Cell::default(),
             listed_since: cell::Cell::default(),
@@ -103,6 +106,11 @@
         })
     }
 
+    /// Records that the store has answered a call of this VM.
+    pub fn record_store_contact(&self) {
+        self.store_contact.set(Some(monotonic_now()));
+    }
+
     /// Returns the configuration in force, if any.
     #[must_use]
     pub fn config(&self) -> Option<rc::Rc<config::NodeConfig>> {
--- a/src/node/table_follower.rs
+++ b/src/node/table_follower.rs
@@ -16,12 +16,13 @@
         monitored: collections::BTreeSet::new(),
         vanished: collections::BTreeMap::new(),
         last_answer: None,
+        store_lost_at: None,
     };
     loop {
         let began_at = follower.tables.edge.boot_time();
         match follower.tables.edge.read_all().await {
             Ok(all) => {
-                follower.record_store_state(None);
+                follower.record_store_answer(all.changes.len());
                 follower.replace(&all);
                 node_log::info(
                     "list_read",
@@ -31,7 +32,7 @@
                 follower.watch_from(all.revision).await;
             }
             Err(error) => {
-                follower.record_store_state(Some(&error));
+                follower.record_store_error(&error);
                 follower.pause().await;
             }
         }
@@ -44,8 +45,10 @@
     /// Upstreams and VMs whose entries have vanished, and when they are to be removed. Entries may
     /// vanish in an outage of the store and reappear after it.
     vanished: collections::BTreeMap<VanishedEntry, Instant>,
-    /// When the store last answered.
+    /// When the store last answered a watch or a listing.
     last_answer: Option<Instant>,
+    /// When the store was last found to be unavailable, while that lasts.
+    store_lost_at: Option<Instant>,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -61,18 +64,23 @@
         let mut wait = self.watch_wait();
         loop {
             let began_at = tables.edge.boot_time();
+            let sent_at = Instant::now();
             let watch = tables.edge.watch(revision, wait);
             // A waiting watch may hang on a dead connection, so a refresh starts a new one.
             let result = tokio::select! {
                 result = watch => result,
                 () = tables.refresh.notified(), if !wait.is_zero() => {
+                    node_log::debug(
+                        "watch_restarted",
+                        &[("waited_ms", &sent_at.elapsed().as_millis())],
+                    );
                     wait = time::Duration::ZERO;
                     continue;
                 }
             };
             match result {
                 Ok(changes) => {
-                    self.record_store_state(None);
+                    self.record_store_answer(changes.changes.len());
                     revision = changes.revision.max(revision);
                     for change in changes.changes {
                         self.apply(change);
@@ -90,7 +98,8 @@
                     return;
                 }
                 Err(error) => {
-                    self.record_store_state(Some(&error));
+                    self.log_failed_watch(&error, revision, wait, sent_at);
+                    self.record_store_error(&error);
                     self.pause().await;
                     wait = self.watch_wait();
                 }
@@ -144,16 +153,63 @@
         self.drop_vanished();
     }
 
-    fn record_store_state(&self, error: Option<&edge::StoreError>) {
-        let available = error.is_none();
-        metrics::gauge!("persimmontack_store_up").set(if available { 1.0 } else { 0.0 });
-        if self.tables.store_available.replace(available) == available {
+    /// Logs a watch that failed. If the store answered another call of this VM while the watch
+    /// waited, only the watch or its answer was lost, and the store was available.
+    fn log_failed_watch(
+        &self,
+        error: &edge::StoreError,
+        revision: edge::RevisionNumber,
+        wait: time::Duration,
+        sent_at: Instant,
+    ) {
+        let contact_age = self
+            .tables
+            .store_contact
+            .get()
+            .map(|contact| node_tables::monotonic_now().saturating_sub(contact));
+        let waited = sent_at.elapsed();
+        let answered_meanwhile = contact_age.is_some_and(|age| age < waited);
+        metrics::counter!("persimmontack_watches_failed_total").increment(1);
+        node_log::warn(
+            "watch_failed",
+            &[
+                ("reason", error),
+                ("revision", &revision),
+                ("wait_ms", &wait.as_millis()),
+                ("waited_ms", &waited.as_millis()),
+                ("store_answered_meanwhile", &answered_meanwhile),
+            ],
+        );
+    }
+
+    /// Records that the store answered with a number of changes.
+    fn record_store_answer(&mut self, changes: usize) {
+        metrics::gauge!("persimmontack_store_up").set(1.0);
+        self.tables.record_store_contact();
+        if self.tables.store_available.replace(true) {
             return;
         }
-        match error {
-            None => node_log::info("store_regained", &[]),
-            Some(error) => node_log::warn("store_lost", &[("reason", error)]),
+        let away = self
+            .store_lost_at
+            .take()
+            .map(|lost_at| lost_at.elapsed().as_millis());
+        node_log::info(
+            "store_regained",
+            &[
+                ("away_ms", &away.unwrap_or_default()),
+                ("changes", &changes),
+            ],
+        );
+    }
+
+    /// Records that the store is unavailable.
+    fn record_store_error(&mut self, error: &edge::StoreError) {
+        metrics::gauge!("persimmontack_store_up").set(0.0);
+        if !self.tables.store_available.replace(false) {
+            return;
         }
+        self.store_lost_at = Some(Instant::now());
+        node_log::warn("store_lost", &[("reason", error)]);
     }
 
     /// Applies a full listing of the store. Known entries that are missing from it have vanished.
@@ -326,6 +382,9 @@
                 Err(error) => Err(error),
             },
         };
+        if result.is_ok() {
+            tables.record_store_contact();
+        }
         if let Err(error) = result {
             node_log::warn("membership_failed", &[("reason", &error)]);
             // A waiting watch may not notice that the store is away.
