Show that a lost watch delays a configuration past its bound

The watch was sent in the outage (20.8 s) and was dead for 4.9 s after it, while renewals of the VM's entry were answered.

--- a/standins/src/cluster/cluster_edge.rs
+++ b/standins/src/cluster/cluster_edge.rs
@@ -15,6 +15,8 @@
 const PROMOTE_TIME: time::Duration = time::Duration::from_millis(50);
 /// Timeout of calls to an unreachable store.
 const STORE_TIMEOUT: time::Duration = time::Duration::from_millis(1_200);
+/// Time added to the wait of a watch for its timeout.
+const WATCH_MARGIN: time::Duration = time::Duration::from_millis(1_000);
 
 /// Handle of one VM to the shared simulated cluster.
 #[derive(Clone, Debug)]
@@ -93,6 +95,79 @@
         }
     }
 
+    /// Waits until the store loses the calls that wait there. Returns at once while it is silent.
+    async fn lose_call(&self) {
+        let lost_before = self.state.borrow().lost_calls;
+        loop {
+            let changed = self.changed.notified();
+            {
+                let state = self.state.borrow();
+                if state.store_silent || state.lost_calls != lost_before {
+                    return;
+                }
+            }
+            changed.await;
+        }
+    }
+
+    /// Makes a call to the store, which may get lost.
+    async fn call_store<T>(
+        &self,
+        limit: time::Duration,
+        work: impl Future<Output = Result<T, edge::StoreError>>,
+    ) -> Result<T, edge::StoreError> {
+        let answered = async {
+            tokio::select! {
+                biased;
+                () = self.lose_call() => std::future::pending().await,
+                result = work => result,
+            }
+        };
+        tokio::time::timeout(limit, answered)
+            .await
+            .unwrap_or_else(|_elapsed| Err(edge::StoreError::NoAnswer("timeout".to_owned())))
+    }
+
+    /// Waits up to `wait` for changes of the store after `revision`.
+    async fn await_changes(
+        &self,
+        revision: edge::RevisionNumber,
+        wait: time::Duration,
+    ) -> Result<edge::ControlChanges, edge::StoreError> {
+        let limit = tokio::time::Instant::now() + wait;
+        self.check_store().await?;
+        loop {
+            let changed = self.changed.notified();
+            if self.is_cut(&cut_table::CutTarget::Store) {
+                // A cut is silent, so a watch that already waits notices it only by its timeout.
+                tokio::time::sleep_until(limit + STORE_TIMEOUT).await;
+            }
+            self.check_store().await?;
+            let (changes, latest, delay) = {
+                let state = self.state.borrow();
+                let changes: Vec<_> = state
+                    .events
+                    .iter()
+                    .filter(|(at, _)| *at > revision)
+                    .map(|(_, change)| change.clone())
+                    .collect();
+                (changes, state.revision, state.watch_delay)
+            };
+            let late = tokio::time::Instant::now() >= limit;
+            if !changes.is_empty() || late {
+                tokio::time::sleep(delay).await;
+                return Ok(edge::ControlChanges {
+                    changes,
+                    revision: latest,
+                });
+            }
+            tokio::select! {
+                () = changed => {}
+                () = tokio::time::sleep_until(limit) => {}
+            }
+        }
+    }
+
     /// Accepts a promotion call, which takes effect after the configured delay.
     fn accept(
         &self,
@@ -162,7 +237,7 @@
     }
 
     async fn read_all(&self) -> Result<edge::ControlChanges, edge::StoreError> {
-        self.check_store().await?;
+        self.call_store(STORE_TIMEOUT, self.check_store()).await?;
         let state = self.state.borrow();
         let mut changes = vec![edge::ControlChange::Config(state.config.clone())];
         changes.extend(
@@ -190,38 +265,8 @@
         revision: edge::RevisionNumber,
         wait: time::Duration,
     ) -> Result<edge::ControlChanges, edge::StoreError> {
-        let limit = tokio::time::Instant::now() + wait;
-        self.check_store().await?;
-        loop {
-            let changed = self.changed.notified();
-            if self.is_cut(&cut_table::CutTarget::Store) {
-                // A cut is silent, so a watch that already waits notices it only by its timeout.
-                tokio::time::sleep_until(limit + STORE_TIMEOUT).await;
-            }
-            self.check_store().await?;
-            let (changes, latest, delay) = {
-                let state = self.state.borrow();
-                let changes: Vec<_> = state
-                    .events
-                    .iter()
-                    .filter(|(at, _)| *at > revision)
-                    .map(|(_, change)| change.clone())
-                    .collect();
-                (changes, state.revision, state.watch_delay)
-            };
-            let late = tokio::time::Instant::now() >= limit;
-            if !changes.is_empty() || late {
-                tokio::time::sleep(delay).await;
-                return Ok(edge::ControlChanges {
-                    changes,
-                    revision: latest,
-                });
-            }
-            tokio::select! {
-                () = changed => {}
-                () = tokio::time::sleep_until(limit) => {}
-            }
-        }
+        let changes = self.await_changes(revision, wait);
+        self.call_store(wait + WATCH_MARGIN, changes).await
     }
 
     async fn join(
@@ -230,17 +275,17 @@
         entry: &member::MemberEntry,
         _ttl: time::Duration,
     ) -> Result<Self::Lease, edge::StoreError> {
-        self.check_store().await?;
+        self.call_store(STORE_TIMEOUT, self.check_store()).await?;
         self.change(|state| state.join(node, entry));
         Ok(node.to_owned())
     }
 
     async fn renew(&self, _lease: &Self::Lease) -> Result<(), edge::StoreError> {
-        self.check_store().await
+        self.call_store(STORE_TIMEOUT, self.check_store()).await
     }
 
     async fn leave(&self, lease: &Self::Lease) -> Result<(), edge::StoreError> {
-        self.check_store().await?;
+        self.call_store(STORE_TIMEOUT, self.check_store()).await?;
         self.change(|state| state.leave(lease));
         Ok(())
     }
@@ -252,7 +297,7 @@
         previous: edge::RevisionNumber,
         purpose: &edge::ClaimPurpose,
     ) -> Result<edge::RevisionNumber, edge::StoreError> {
-        self.check_store().await?;
+        self.call_store(STORE_TIMEOUT, self.check_store()).await?;
         let number = self.change(|state| {
             if state.decision != previous {
                 return Err(edge::StoreError::Conflict);
--- a/standins/src/cluster/cluster_state.rs
+++ b/standins/src/cluster/cluster_state.rs
@@ -27,6 +27,11 @@
     pub decision: edge::RevisionNumber,
     /// Whether the store answers.
     pub store_up: bool,
+    /// Whether the store receives calls and answers none. Calls that it received then, or that
+    /// waited when it began, are never answered.
+    pub store_silent: bool,
+    /// How often calls that wait at the store have been lost.
+    pub lost_calls: u64,
     /// Delay until a watch reports a change to the store.
     pub watch_delay: time::Duration,
     /// Delay between the claim of a decision number and the answer to the VM.
@@ -67,6 +72,8 @@
             revision: 1,
             decision: 0,
             store_up: true,
+            store_silent: false,
+            lost_calls: 0,
             watch_delay: time::Duration::ZERO,
             claim_delay: time::Duration::ZERO,
             listed_by_claim: None,
@@ -97,6 +104,17 @@
         self.record(edge::ControlChange::MemberGone(vm.to_owned()));
     }
 
+    /// Makes the store lose all calls that wait there, as when their connections die silently.
+    pub const fn lose_waiting_calls(&mut self) {
+        self.lost_calls += 1;
+    }
+
+    /// Begins or ends a time in which the store answers no call.
+    pub const fn set_store_silent(&mut self, silent: bool) {
+        self.store_silent = silent;
+        self.lose_waiting_calls();
+    }
+
     fn add_instance(&mut self, name: &str, index: usize, primary: bool) {
         let port = 9_000 + u16::try_from(index).unwrap_or_default();
         let entry = upstream_entry::UpstreamEntry {
