Notice a lost watch of the store within the bound for configurations

Callers saw: 404, or the old group, on routes of a configuration that had been acknowledged more than 3 s before (CONFIG).

Cause: a watch waits for up to 4 s and counted as lost after 5 s, more than ConfigApplyMs (3 s on the small sites). A watch that was sent while the store was silent, or waited there, is never answered, although the store answers other calls again. Class: silence of a call that may rightly be silent is taken for a sign of life.

After any failed call the store is asked without waiting, and only a store that has just answered is asked to wait. A failed renewal is retried after 0.5 s instead of 2 s.

Ruled out: dead connections and the pauses alone do not explain the traces. By the code, the question that timed out at 20.76 s and the watch after it went over new connections (the earlier ones had failed and were closed); the pause adds 0.25 s. A check of the TCP connection does not help, since a silent store accepts the bytes.

--- a/src/node/edge.rs
+++ b/src/node/edge.rs
@@ -10,6 +10,7 @@
 use crate::model::ids;
 use crate::node::{
     answers, command, config, member, primary_change, request, session_state, upstream_entry,
+    watch_schedule,
 };
 
 /// Revision of the store; it increases with every change.
@@ -198,11 +199,12 @@
     /// Reads all entries that a node needs from the store.
     fn read_all(&self) -> impl Future<Output = Result<ControlChanges, StoreError>>;
 
-    /// Returns the changes after `revision`, and waits for them up to `wait`.
+    /// Returns the changes after `revision`, and waits for them. Fails with
+    /// [`StoreError::NoAnswer`] after the limit in `times`.
     fn watch(
         &self,
         revision: RevisionNumber,
-        wait: time::Duration,
+        times: watch_schedule::WatchTimes,
     ) -> impl Future<Output = Result<ControlChanges, StoreError>>;
 
     /// Writes the VM's entry under a new lease.
--- a/src/node/limits.rs
+++ b/src/node/limits.rs
@@ -136,9 +136,28 @@
 pub const MEMBER_TTL: Duration = Duration::from_secs(6);
 /// Period of the renewal of that entry.
 pub const MEMBER_RENEWAL: Duration = Duration::from_secs(2);
-/// Longest wait of one watch. Bounds the time until one is noticed whose answer was lost: the store
-/// may answer renewals of the VM's entry meanwhile.
-pub const WATCH_WAIT: Duration = Duration::from_secs(4);
+/// Pause before a failed renewal of that entry is retried.
+pub const MEMBER_RETRY: Duration = Duration::from_millis(500);
+/// Timeout of a call to the store that does not wait for a change.
+pub const STORE_CALL_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// Time from the acknowledgement of a configuration until it has to be in force, unless the
+/// settings say otherwise.
+pub const CONFIG_APPLY_LIMIT: Duration = Duration::from_secs(3);
+/// Part of that time that is left for the next call when a watch is noticed to be lost.
+pub const LOST_WATCH_RESERVE: Duration = Duration::from_millis(600);
+/// Upper bound of that part, as a fraction of the whole time.
+pub const LOST_WATCH_RESERVE_PARTS: u32 = 4;
+/// Time that a watch gets for its answer, beyond the time that it waits.
+pub const WATCH_MARGIN: Duration = Duration::from_millis(1_000);
+/// Upper bound of that time, as a fraction of the time within which a lost watch is noticed.
+pub const WATCH_MARGIN_PARTS: u32 = 5;
+/// Upper bound of the timeout of a watch that does not wait, as a fraction of the time for a
+/// configuration.
+pub const QUESTION_PARTS: u32 = 3;
+/// Shortest wait of a watch that waits.
+pub const MIN_WATCH_WAIT: Duration = Duration::from_millis(100);
+/// Longest wait of a watch.
+pub const MAX_WATCH_WAIT: Duration = Duration::from_secs(4);
 /// Pause between two watches, multiplied by the number of members. Bounds the total call rate of
 /// all VMs when many changes arrive in succession.
 pub const WATCH_PAUSE: Duration = Duration::from_millis(6);
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -54,4 +54,5 @@
 pub mod upstream_entry;
 pub mod upstream_session;
 pub mod wait_queue;
+pub mod watch_schedule;
 pub mod writes;
--- a/src/node/node_tables.rs
+++ b/src/node/node_tables.rs
@@ -67,6 +67,8 @@
     pub store_available: cell::Cell<bool>,
     /// When the store last answered any call of this VM, by the monotonic clock.
     pub store_contact: cell::Cell<Option<time::Duration>>,
+    /// Time from the acknowledgement of a configuration until it has to be in force.
+    pub config_apply_limit: cell::Cell<time::Duration>,
     /// Requests an immediate refresh of the tables from the store.
     pub refresh: Notify,
     /// Revision of the store that the tables reflect.
@@ -98,6 +100,7 @@
             changed: Notify::new(),
             store_available: cell::Cell::default(),
             store_contact: cell::Cell::default(),
+            config_apply_limit: cell::Cell::new(limits::CONFIG_APPLY_LIMIT),
             refresh: Notify::new(),
             revision: cell::Cell::default(),
             listed_since: cell::Cell::default(),
--- a/src/node/table_follower.rs
+++ b/src/node/table_follower.rs
@@ -7,7 +7,9 @@
 use tokio::time::Instant;
 
 use crate::model::ids;
-use crate::node::{claims, edge, group, limits, monitor, node_log, node_tables, stop};
+use crate::node::{
+    claims, edge, group, limits, monitor, node_log, node_tables, stop, watch_schedule,
+};
 
 /// Keeps the tables up to date with the store as long as the node runs.
 pub async fn follow_store<E: edge::NodeEdge>(tables: rc::Rc<node_tables::NodeTables<E>>) {
@@ -61,20 +63,20 @@
     /// Applies changes until the store no longer has the history since the last revision.
     async fn watch_from(&mut self, mut revision: edge::RevisionNumber) {
         let tables = rc::Rc::clone(&self.tables);
-        let mut wait = self.watch_wait();
+        let mut times = self.waiting_times();
         loop {
             let began_at = tables.edge.boot_time();
             let sent_at = Instant::now();
-            let watch = tables.edge.watch(revision, wait);
+            let watch = tables.edge.watch(revision, times);
             // A waiting watch may hang on a dead connection, so a refresh starts a new one.
             let result = tokio::select! {
                 result = watch => result,
-                () = tables.refresh.notified(), if !wait.is_zero() => {
+                () = tables.refresh.notified(), if !times.wait.is_zero() => {
                     node_log::debug(
                         "watch_restarted",
                         &[("waited_ms", &sent_at.elapsed().as_millis())],
                     );
-                    wait = time::Duration::ZERO;
+                    times = self.schedule().question();
                     continue;
                 }
             };
@@ -88,9 +90,9 @@
                     self.record_revision(revision, began_at);
                     tokio::select! {
                         () = tokio::time::sleep(self.watch_pause()) => {
-                            wait = self.watch_wait();
+                            times = self.waiting_times();
                         }
-                        () = tables.refresh.notified() => wait = time::Duration::ZERO,
+                        () = tables.refresh.notified() => times = self.schedule().question(),
                     }
                 }
                 Err(edge::StoreError::HistoryGone) => {
@@ -98,10 +100,12 @@
                     return;
                 }
                 Err(error) => {
-                    self.log_failed_watch(&error, revision, wait, sent_at);
+                    self.log_failed_watch(&error, revision, times.wait, sent_at);
                     self.record_store_error(&error);
-                    self.pause().await;
-                    wait = self.watch_wait();
+                    tokio::time::sleep_until(sent_at + limits::STORE_PAUSE).await;
+                    // Only a store that has just answered is asked to wait: a watch that it does
+                    // not receive would be noticed late.
+                    times = self.schedule().question();
                 }
             }
             self.drop_vanished();
@@ -133,19 +137,26 @@
         pause.min(limits::MAX_WATCH_PAUSE)
     }
 
-    fn watch_wait(&self) -> time::Duration {
+    fn schedule(&self) -> watch_schedule::WatchSchedule {
+        watch_schedule::WatchSchedule::new(self.tables.config_apply_limit.get())
+    }
+
+    /// Returns the times of the next watch that waits.
+    fn waiting_times(&self) -> watch_schedule::WatchTimes {
         let now = Instant::now();
         let longest = if self.tables.has_complete_list() {
-            limits::WATCH_WAIT
+            limits::MAX_WATCH_WAIT
         } else {
             let age = self.tables.list_age().unwrap_or_default();
             limits::FIRST_WATCH_WAIT.min(limits::STORE_RETURN_GRACE.saturating_sub(age))
         };
-        self.vanished
+        let longest = self
+            .vanished
             .values()
             .map(|due| due.saturating_duration_since(now))
             .min()
-            .map_or(longest, |due| due.min(longest))
+            .map_or(longest, |due| due.min(longest));
+        self.schedule().waiting(longest, self.watch_pause())
     }
 
     async fn pause(&mut self) {
@@ -382,6 +393,7 @@
                 Err(error) => Err(error),
             },
         };
+        let mut pause = limits::MEMBER_RENEWAL;
         if result.is_ok() {
             tables.record_store_contact();
         }
@@ -394,9 +406,12 @@
                 tokio::time::sleep(limits::STORE_PAUSE).await;
                 continue;
             }
+            if lease.is_some() {
+                pause = limits::MEMBER_RETRY;
+            }
         }
         tokio::select! {
-            () = tokio::time::sleep(limits::MEMBER_RENEWAL) => {}
+            () = tokio::time::sleep(pause) => {}
             _started = stop.wait_for_stop() => break,
         }
     }
--- a/standins/src/cluster/cluster_edge.rs
+++ b/standins/src/cluster/cluster_edge.rs
@@ -7,7 +7,7 @@
 use std::time;
 
 use persimmontack::model::ids;
-use persimmontack::node::{edge, member, upstream_entry};
+use persimmontack::node::{edge, member, upstream_entry, watch_schedule};
 
 use crate::cluster::{cluster_link, cluster_state, cut_table, peer_network, platform_state};
 
@@ -15,8 +15,6 @@
 const PROMOTE_TIME: time::Duration = time::Duration::from_millis(50);
 /// Timeout of calls to an unreachable store.
 const STORE_TIMEOUT: time::Duration = time::Duration::from_millis(1_200);
-/// Time added to the wait of a watch for its timeout.
-const WATCH_MARGIN: time::Duration = time::Duration::from_millis(1_000);
 
 /// Handle of one VM to the shared simulated cluster.
 #[derive(Clone, Debug)]
@@ -263,10 +261,10 @@
     async fn watch(
         &self,
         revision: edge::RevisionNumber,
-        wait: time::Duration,
+        times: watch_schedule::WatchTimes,
     ) -> Result<edge::ControlChanges, edge::StoreError> {
-        let changes = self.await_changes(revision, wait);
-        self.call_store(wait + WATCH_MARGIN, changes).await
+        let changes = self.await_changes(revision, times.wait);
+        self.call_store(times.limit, changes).await
     }
 
     async fn join(
--- a/tests/node_configuration.rs
+++ b/tests/node_configuration.rs
@@ -6,6 +6,8 @@
 
 use node_support as support;
 use persimmontack::node::edge::ControlChange;
+use persimmontack::node::limits;
+use persimmontack::node::watch_schedule::WatchSchedule;
 
 /// Time within which an acknowledged configuration has to be in force.
 const APPLY_LIMIT: Duration = Duration::from_secs(3);
@@ -53,3 +55,24 @@
         });
     }
 }
+
+/// Guards against waits that fit one deployment only: a lost watch has to be noticed within the
+/// bound that the settings give, also after the pause between two watches.
+#[test]
+fn a_lost_watch_is_noticed_within_any_bound() {
+    for apply_ms in [1_000, 2_000, 3_000, 5_000, 6_000, 60_000] {
+        for pause in [Duration::ZERO, limits::WATCH_PAUSE * 8, APPLY_LIMIT / 10] {
+            let apply_limit = Duration::from_millis(apply_ms);
+            let schedule = WatchSchedule::new(apply_limit);
+            let times = schedule.waiting(limits::MAX_WATCH_WAIT, pause);
+            let reserve = apply_limit - (pause + times.limit);
+            assert!(times.wait < times.limit, "{apply_limit:?} {times:?}");
+            assert!(
+                reserve >= apply_limit / 5 || reserve >= limits::LOST_WATCH_RESERVE,
+                "{apply_limit:?} {times:?}"
+            );
+            let question = schedule.question();
+            assert!(question.wait.is_zero() && question.limit < apply_limit);
+        }
+    }
+}
