Keep decisions apart that a restored store numbers alike

Cause: the number of a decision, which is its fencing token and the condition of the next claim, was the store's revision alone. A store that is restored from a copy goes back: no claim could succeed, later ones would have had numbers that the platform had seen already, and a watch from a revision that the store has passed again missed what lies between. Class: what the store has given out once was taken to be given out never again.

Change: revision and era (the header Store-Era) make one number, in the adapter. A claim carries its era, names the revision that the group has in the store now, and is not used if its answer comes from another era. A watch that meets another era reads everything anew.

--- a/src/node/claims.rs
+++ b/src/node/claims.rs
@@ -26,7 +26,13 @@
         .claim_decision(&group.group, &tables.vm, previous, purpose);
     let number = tokio::time::timeout(limits::CLAIM_TIMEOUT, claim)
         .await
-        .unwrap_or_else(|_elapsed| Err(edge::StoreError::NoAnswer("timeout".to_owned())))?;
+        .unwrap_or_else(|_elapsed| Err(edge::StoreError::NoAnswer("timeout".to_owned())))
+        .inspect_err(|error| {
+            if *error == edge::StoreError::Restored {
+                // The tables are read anew before the next claim.
+                tables.refresh.notify_one();
+            }
+        })?;
     group.record_claim(number, purpose, node_tables::monotonic_now());
     Ok(number)
 }
@@ -53,6 +59,7 @@
     let error = match claim(tables, group, previous, &purpose).await {
         Ok(number) => return Ok(number),
         Err(edge::StoreError::Conflict) => return Err(ClaimError::Overtaken),
+        Err(error @ edge::StoreError::Restored) => return Err(ClaimError::Store(error)),
         Err(error) => error,
     };
     let knows_all_decisions = !tables
--- a/src/node/edge.rs
+++ b/src/node/edge.rs
@@ -13,7 +13,8 @@
     watch_schedule,
 };
 
-/// Revision of the store; it increases with every change.
+/// Revision of the store; it increases with every change, also when the store is restored from a
+/// copy: see [`crate::node::store_revision::StoreRevision`].
 pub type RevisionNumber = u64;
 
 /// A client connection.
@@ -92,6 +93,9 @@
     /// The changes since the revision of the watch are no longer available.
     #[display("history is gone")]
     HistoryGone,
+    /// The store was restored from a copy since the call's revision or lease was given out.
+    #[display("the store was restored")]
+    Restored,
     /// The lease has ended.
     #[display("lease has ended")]
     LeaseEnded,
@@ -222,7 +226,8 @@
     fn leave(&self, lease: &Self::Lease) -> impl Future<Output = Result<(), StoreError>>;
 
     /// Claims a number for a decision on the primary of `group` if `previous` is still the latest
-    /// one. The new number is higher than every earlier one.
+    /// one, or the store has lost that one in a restore and has none later. The new number is higher
+    /// than every earlier one.
     fn claim_decision(
         &self,
         group: &str,
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -49,6 +49,7 @@
 pub mod session_state;
 pub mod status;
 pub mod stop;
+pub mod store_revision;
 pub mod table_follower;
 pub mod transaction;
 pub mod upstream_entry;
--- a/src/node/table_follower.rs
+++ b/src/node/table_follower.rs
@@ -95,8 +95,11 @@
                         () = tables.refresh.notified() => times = self.schedule().question(),
                     }
                 }
-                Err(edge::StoreError::HistoryGone) => {
-                    node_log::warn("store_history_gone", &[("revision", &revision)]);
+                Err(error @ (edge::StoreError::HistoryGone | edge::StoreError::Restored)) => {
+                    node_log::warn(
+                        "store_history_gone",
+                        &[("revision", &revision), ("reason", &error)],
+                    );
                     return;
                 }
                 Err(error) => {
