Ignore entries of upstreams that a restored store has from before

Cause: entries were applied as the store had them, whatever the VM knew already. A restored store has entries from its copy until the instances have written theirs again: an upstream that leaves, or has left, was used again; a new primary's entry from before its promotion counted as its resignation, so the group had no primary.

Change: an entry with the same start (born) and a lower Sequence than the known one is ignored, and logged; the last entry of a removed upstream is remembered for two minutes.

Three tests failed before: the upstream that leaves got new work, the one that had left was listed again, and the primary was dropped. The stand-in's store can be restored now; two more tests passed before and are kept.

--- a/src/node/limits.rs
+++ b/src/node/limits.rs
@@ -169,6 +169,9 @@
 pub const STORE_PAUSE: Duration = Duration::from_millis(250);
 /// Time for which vanished entries are kept; it restarts at the end of an outage of the store.
 pub const STORE_RETURN_GRACE: Duration = Duration::from_millis(2_500);
+/// Time for which the last entry of a removed upstream is remembered. A copy of the store that is restored
+/// is some seconds old.
+pub const REMOVED_MEMORY: Duration = Duration::from_secs(120);
 /// Time after the stop signal for which new callers are still served: the load balancer removes a
 /// VM after two failed probes at one per second.
 pub const STOP_LINGER: Duration = Duration::from_millis(2_300);
--- a/src/node/node_tables.rs
+++ b/src/node/node_tables.rs
@@ -51,6 +51,10 @@
     pub own_entry: member::MemberEntry,
     config: cell::RefCell<Option<rc::Rc<config::NodeConfig>>>,
     pools: cell::RefCell<collections::BTreeMap<ids::UpstreamId, rc::Rc<pool::UpstreamPool<E>>>>,
+    /// Upstreams that were removed, the age of their last entries, and when that was.
+    removed: cell::RefCell<
+        collections::BTreeMap<ids::UpstreamId, (upstream_entry::EntryAge, time::Duration)>,
+    >,
     groups: cell::RefCell<collections::BTreeMap<ids::GroupId, rc::Rc<group::GroupState>>>,
     members: cell::RefCell<collections::BTreeMap<ids::VmId, member::MemberEntry>>,
     /// Cached hosts of each group; cleared when the members or the configuration change.
@@ -91,6 +95,7 @@
             own_entry,
             config: cell::RefCell::default(),
             pools: cell::RefCell::default(),
+            removed: cell::RefCell::default(),
             groups: cell::RefCell::default(),
             members: cell::RefCell::default(),
             hosts: cell::RefCell::default(),
@@ -144,6 +149,18 @@
 
     /// Applies the list entry of an upstream.
     pub fn apply_upstream(self: &rc::Rc<Self>, entry: upstream_entry::UpstreamEntry) {
+        if self.is_outdated(&entry) {
+            node_log::info(
+                "upstream_entry_outdated",
+                &[
+                    ("upstream", &entry.upstream),
+                    ("sequence", &entry.sequence),
+                    ("leaving", &entry.leaving),
+                    ("primary", &entry.primary),
+                ],
+            );
+            return;
+        }
         let group = self.group(&entry.group);
         let old = self.pool(&entry.upstream).map(|pool| pool.entry());
         let restarted = old.as_ref().is_some_and(|old| {
@@ -155,7 +172,18 @@
             self.remove_upstream(&entry.upstream, RemovalReason::Restarted);
         }
         let known = old.filter(|_| !restarted);
-        if known.as_ref() == Some(&entry) {
+        let same = |known: &upstream_entry::UpstreamEntry| {
+            let sequence = known.sequence;
+            *known
+                == (upstream_entry::UpstreamEntry {
+                    sequence,
+                    ..entry.clone()
+                })
+        };
+        if known.as_ref().is_some_and(same) {
+            if let Some(pool) = self.pool(&entry.upstream) {
+                pool.set_entry(entry);
+            }
             return;
         }
         node_log::info(
@@ -194,6 +222,25 @@
         self.changed.notify_waiters();
     }
 
+    /// Returns whether an entry is from before the one that is known, as a restored store may have it.
+    fn is_outdated(&self, entry: &upstream_entry::UpstreamEntry) -> bool {
+        if let Some(pool) = self.pool(&entry.upstream) {
+            return entry.is_older_than(&pool.entry().age());
+        }
+        let removed = self.removed.borrow();
+        removed
+            .get(&entry.upstream)
+            .is_some_and(|(age, _removed_at)| entry.is_older_than(age))
+    }
+
+    /// Records the age of the last entry of an upstream that is removed.
+    fn record_removed(&self, entry: &upstream_entry::UpstreamEntry) {
+        let now = monotonic_now();
+        let mut removed = self.removed.borrow_mut();
+        removed.retain(|_, (_, at)| now.saturating_sub(*at) < limits::REMOVED_MEMORY);
+        removed.insert(entry.upstream.clone(), (entry.age(), now));
+    }
+
     /// Removes an upstream and closes its connections.
     pub fn remove_upstream(&self, upstream: &str, reason: RemovalReason) {
         let pool = self.pools.borrow_mut().remove(upstream);
@@ -205,6 +252,7 @@
             &[("upstream", &upstream), ("reason", &reason)],
         );
         pool.retire();
+        self.record_removed(&pool.entry());
         let (group, leaving) = pool.read_entry(|entry| (entry.group.clone(), entry.leaving));
         let group = self.group(&group);
         let fenced = group
--- a/standins/src/cluster/cluster_edge.rs
+++ b/standins/src/cluster/cluster_edge.rs
@@ -7,7 +7,7 @@
 use std::time;
 
 use persimmontack::model::ids;
-use persimmontack::node::{edge, member, upstream_entry, watch_schedule};
+use persimmontack::node::{edge, member, store_revision, upstream_entry, watch_schedule};
 
 use crate::cluster::{cluster_link, cluster_state, cut_table, peer_network, platform_state};
 
@@ -16,6 +16,13 @@
 /// Timeout of calls to an unreachable store.
 const STORE_TIMEOUT: time::Duration = time::Duration::from_millis(1_200);
 
+/// Lease of a VM's entry.
+#[derive(Clone, Debug)]
+pub struct ClusterLease {
+    vm: ids::VmId,
+    era: store_revision::EraNumber,
+}
+
 /// Handle of one VM to the shared simulated cluster.
 #[derive(Clone, Debug)]
 pub struct ClusterEdge {
@@ -132,6 +139,7 @@
         revision: edge::RevisionNumber,
         wait: time::Duration,
     ) -> Result<edge::ControlChanges, edge::StoreError> {
+        let revision = store_revision::StoreRevision::from_number(revision);
         let limit = tokio::time::Instant::now() + wait;
         self.check_store().await?;
         loop {
@@ -143,13 +151,17 @@
             self.check_store().await?;
             let (changes, latest, delay) = {
                 let state = self.state.borrow();
+                if state.era != revision.era {
+                    return Err(edge::StoreError::Restored);
+                }
                 let changes: Vec<_> = state
                     .events
                     .iter()
-                    .filter(|(at, _)| *at > revision)
+                    .filter(|(at, _)| *at > revision.revision)
                     .map(|(_, change)| change.clone())
                     .collect();
-                (changes, state.revision, state.watch_delay)
+                let latest = state.number(state.revision);
+                (changes, latest, state.watch_delay)
             };
             let late = tokio::time::Instant::now() >= limit;
             if !changes.is_empty() || late {
@@ -204,7 +216,7 @@
 
 impl edge::NodeEdge for ClusterEdge {
     type Upstream = cluster_link::ClusterLink;
-    type Lease = ids::VmId;
+    type Lease = ClusterLease;
     type PeerSocket = tokio::io::DuplexStream;
 
     fn boot_time(&self) -> time::Duration {
@@ -254,7 +266,7 @@
         changes.extend(state.latest_claim().cloned());
         Ok(edge::ControlChanges {
             changes,
-            revision: state.revision,
+            revision: state.number(state.revision),
         })
     }
 
@@ -275,16 +287,23 @@
     ) -> Result<Self::Lease, edge::StoreError> {
         self.call_store(STORE_TIMEOUT, self.check_store()).await?;
         self.change(|state| state.join(node, entry));
-        Ok(node.to_owned())
+        Ok(ClusterLease {
+            vm: node.to_owned(),
+            era: self.state.borrow().era,
+        })
     }
 
-    async fn renew(&self, _lease: &Self::Lease) -> Result<(), edge::StoreError> {
-        self.call_store(STORE_TIMEOUT, self.check_store()).await
+    async fn renew(&self, lease: &Self::Lease) -> Result<(), edge::StoreError> {
+        self.call_store(STORE_TIMEOUT, self.check_store()).await?;
+        if self.state.borrow().era != lease.era {
+            return Err(edge::StoreError::LeaseEnded);
+        }
+        Ok(())
     }
 
     async fn leave(&self, lease: &Self::Lease) -> Result<(), edge::StoreError> {
         self.call_store(STORE_TIMEOUT, self.check_store()).await?;
-        self.change(|state| state.leave(lease));
+        self.change(|state| state.leave(&lease.vm));
         Ok(())
     }
 
@@ -297,7 +316,9 @@
     ) -> Result<edge::RevisionNumber, edge::StoreError> {
         self.call_store(STORE_TIMEOUT, self.check_store()).await?;
         let number = self.change(|state| {
-            if state.decision != previous {
+            // After a restore, the store has an earlier decision than the latest one.
+            let lost = state.decision < previous && state.era > 0;
+            if state.decision != previous && !lost {
                 return Err(edge::StoreError::Conflict);
             }
             if matches!(purpose, edge::ClaimPurpose::Now(_))
@@ -305,7 +326,7 @@
             {
                 state.list(&name);
             }
-            let number = state.revision + 1;
+            let number = state.number(state.revision + 1);
             state.decision = number;
             let claim = edge::DecisionClaim {
                 number,
--- a/standins/src/cluster/cluster_state.rs
+++ b/standins/src/cluster/cluster_state.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use persimmontack::model::{ids, log_position};
-use persimmontack::node::{answers, config, edge, member, upstream_entry};
+use persimmontack::node::{answers, config, edge, member, store_revision, upstream_entry};
 use tokio::sync::Notify;
 
 use crate::cluster::{instance_state, pending_commit, platform_state};
@@ -20,9 +20,11 @@
     /// Latest configuration.
     pub config: config::NodeConfig,
     /// Changes to the store with their revisions, in order.
-    pub events: Vec<(edge::RevisionNumber, edge::ControlChange)>,
-    /// Latest revision of the store.
-    pub revision: edge::RevisionNumber,
+    pub events: Vec<(u64, edge::ControlChange)>,
+    /// How often the store has been restored from a copy.
+    pub era: store_revision::EraNumber,
+    /// Latest revision of the store within its era.
+    pub revision: u64,
     /// Number of the latest decision on the primary of the group.
     pub decision: edge::RevisionNumber,
     /// Whether the store answers.
@@ -56,6 +58,15 @@
 /// Name of the group.
 pub const GROUP: &str = "ledger";
 
+/// What a copy of the store holds.
+#[derive(Clone, Debug)]
+pub struct StoreCopy {
+    revision: u64,
+    events: Vec<(u64, edge::ControlChange)>,
+    members: collections::BTreeMap<ids::VmId, member::MemberEntry>,
+    decision: edge::RevisionNumber,
+}
+
 /// Wakes watches of the store.
 pub type StoreSignal = Notify;
 
@@ -69,6 +80,7 @@
             members: collections::BTreeMap::new(),
             config: config.clone(),
             events: Vec::new(),
+            era: 0,
             revision: 1,
             decision: 0,
             store_up: true,
@@ -104,6 +116,40 @@
         self.record(edge::ControlChange::MemberGone(vm.to_owned()));
     }
 
+    /// Returns the number of a revision in the current era.
+    #[must_use]
+    pub const fn number(&self, revision: u64) -> edge::RevisionNumber {
+        let era = self.era;
+        store_revision::StoreRevision { era, revision }.number()
+    }
+
+    /// Copies the store.
+    #[must_use]
+    pub fn copy_store(&self) -> StoreCopy {
+        StoreCopy {
+            revision: self.revision,
+            events: self.events.clone(),
+            members: self.members.clone(),
+            decision: self.decision,
+        }
+    }
+
+    /// Restores the store from a copy, in a new era. Leases are lost. The configuration and the entries
+    /// of the instances are written again.
+    pub fn restore_store(&mut self, copy: StoreCopy) {
+        self.era += 1;
+        self.revision = copy.revision;
+        self.events = copy.events;
+        self.members = copy.members;
+        self.decision = copy.decision;
+        self.record(edge::ControlChange::Config(self.config.clone()));
+        let listed = self.instances.values().filter(|instance| instance.listed);
+        let entries: Vec<_> = listed.map(|instance| instance.entry.clone()).collect();
+        for entry in entries {
+            self.record(edge::ControlChange::Upstream(entry));
+        }
+    }
+
     /// Makes the store lose all calls that wait there, as when their connections die silently.
     pub const fn lose_waiting_calls(&mut self) {
         self.lost_calls += 1;
@@ -126,6 +172,7 @@
             leaving: false,
             primary,
             incarnation: 1,
+            sequence: 1,
         };
         let instance = instance_state::InstanceState {
             entry,
@@ -199,6 +246,7 @@
             return;
         };
         change(&mut instance.entry);
+        instance.entry.sequence += 1;
         if instance.listed {
             let entry = instance.entry.clone();
             self.record(edge::ControlChange::Upstream(entry));
@@ -355,6 +403,7 @@
                 instance.applied = instance.applied.min(log.len());
             }
             instance.entry.primary = instance.primary;
+            instance.entry.sequence += 1;
         }
         self.promotions.push((name.to_owned(), decision));
         let entries: Vec<_> = self
