Make no decision until those that a restored store has lost are over

Cause: a VM that reaches the store takes itself to know every decision. A restored store has lost the claims of its last seconds, so a VM that had not seen one could decide beside the VM that made it, or pass an acknowledgement on that this decision does not count. A number in reserve, whose claim the store has lost, stayed in use too.

Test: a_vm_counts_as_uninformed_after_the_store_was_restored failed before.

--- a/src/node/group.rs
+++ b/src/node/group.rs
@@ -338,6 +338,11 @@
         }
     }
 
+    /// Gives up the reserved number, since the store no longer has its claim.
+    pub fn drop_reserved_number(&self) {
+        self.reserved_number.set(None);
+    }
+
     /// Returns whether this VM has a reserved number.
     #[must_use]
     pub fn has_reserved_number(&self) -> bool {
--- a/src/node/isolation.rs
+++ b/src/node/isolation.rs
@@ -22,6 +22,9 @@
     answer_needed_since: cell::Cell<time::Duration>,
     /// When the latest call that the store answered began.
     last_answered_call: cell::Cell<time::Duration>,
+    /// Until this time of [`edge::NodeEdge::boot_time`], a decision that a restored store has lost may be
+    /// in progress.
+    restored_until: cell::Cell<time::Duration>,
     /// When the connections were last checked, as a time of [`edge::NodeEdge::boot_time`].
     last_check: cell::Cell<Option<time::Duration>>,
     changed: Notify,
@@ -57,13 +60,21 @@
     }
 
     /// Returns whether the VM may have missed a decision on a primary: it was cut off or suspended,
-    /// and the store has not answered since. `now` is a time of [`edge::NodeEdge::boot_time`].
+    /// and the store has not answered since, or the store has just been restored. `now` is a time of [`edge::NodeEdge::boot_time`].
     #[must_use]
     pub fn may_have_missed_decisions(&self, now: time::Duration) -> bool {
         let last_check = self.last_check.get();
         let paused =
             last_check.is_some_and(|last_check| now.saturating_sub(last_check) > limits::STALL_GAP);
-        paused || self.last_answered_call.get() < self.answer_needed_since.get()
+        paused
+            || now < self.restored_until.get()
+            || self.last_answered_call.get() < self.answer_needed_since.get()
+    }
+
+    /// Records at `now` that the store was restored from a copy. Decisions that it has lost are over
+    /// within the time of a decision.
+    pub fn record_restore(&self, now: time::Duration) {
+        self.restored_until.set(now + limits::DECISION_TIMEOUT);
     }
 
     /// Returns how long ago the latest call that the store answered began. `now` is a time of
--- a/src/node/node_tables.rs
+++ b/src/node/node_tables.rs
@@ -342,6 +342,16 @@
             .is_ok()
     }
 
+    /// Records that the store was restored from a copy, and has lost what was written last. Decisions
+    /// among it are known only to the VMs that made them or were told.
+    pub fn record_restore(&self) {
+        metrics::counter!("persimmontack_store_restores_total").increment(1);
+        self.isolation.record_restore(self.edge.boot_time());
+        for group in self.groups() {
+            group.drop_reserved_number();
+        }
+    }
+
     /// Returns whether the list has been followed for long enough to contain every upstream.
     /// Entries that expire during an outage of the store reappear some time after it.
     #[must_use]
--- a/src/node/table_follower.rs
+++ b/src/node/table_follower.rs
@@ -8,7 +8,8 @@
 
 use crate::model::ids;
 use crate::node::{
-    claims, edge, group, limits, monitor, node_log, node_tables, stop, watch_schedule,
+    claims, edge, group, limits, monitor, node_log, node_tables, stop, store_revision,
+    watch_schedule,
 };
 
 /// Keeps the tables up to date with the store as long as the node runs.
@@ -25,6 +26,7 @@
         match follower.tables.edge.read_all().await {
             Ok(all) => {
                 follower.record_store_answer(all.changes.len());
+                follower.check_restore(all.revision);
                 follower.replace(&all);
                 node_log::info(
                     "list_read",
@@ -216,6 +218,21 @@
         );
     }
 
+    /// Notices from the revision of a listing that the store was restored from a copy.
+    fn check_restore(&self, revision: edge::RevisionNumber) {
+        let known = self.tables.revision.get();
+        let before = store_revision::StoreRevision::from_number(known);
+        let revision = store_revision::StoreRevision::from_number(revision);
+        if known == 0 || revision.era == before.era {
+            return;
+        }
+        node_log::warn(
+            "store_restored",
+            &[("before", &before), ("revision", &revision)],
+        );
+        self.tables.record_restore();
+    }
+
     /// Records that the store is unavailable.
     fn record_store_error(&mut self, error: &edge::StoreError) {
         metrics::gauge!("persimmontack_store_up").set(0.0);
--- a/tests/node_restored_store.rs
+++ b/tests/node_restored_store.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use node_support as support;
-use persimmontack::node::edge::ControlChange;
+use persimmontack::node::edge::{ControlChange, NodeEdge};
+use persimmontack::node::store_revision::StoreRevision;
+use standins::cluster::cluster_state;
 
 /// Guards against VMs that drop each other as members, because the restored store lacks their entries
 /// until the next renewal fails.
@@ -134,3 +136,29 @@
         }
     });
 }
+
+/// Guards against a decision that a VM makes, or an acknowledgement that it passes on, without
+/// knowing of a decision that the store has lost.
+#[test]
+fn a_vm_counts_as_uninformed_after_the_store_was_restored() {
+    support::run(|node| async move {
+        let uninformed = |node: &support::TestNode| {
+            let now = node.tables.edge.boot_time();
+            node.tables.isolation.may_have_missed_decisions(now)
+        };
+        assert!(!uninformed(&node));
+        let copy = node.edge.state.borrow().copy_store();
+        node.edge.change(|state| state.restore_store(copy));
+        node.wait_until("the restore is seen", uninformed).await;
+        node.instance("a", |primary| primary.up = false);
+        node.sleep(Duration::from_secs(1)).await;
+        assert!(node.promotions().is_empty());
+        node.wait_until("the primary is replaced", |node| {
+            !node.promotions().is_empty()
+        })
+        .await;
+        assert!(!uninformed(&node));
+        let number = node.tables.group(cluster_state::GROUP).latest_decision();
+        assert_eq!(StoreRevision::from_number(number).era, 1);
+    });
+}
