--- a/src/node/edge.rs
+++ b/src/node/edge.rs
@@ -14,7 +14,7 @@
 };
 
 /// Revision of the store; it increases with every change, also when the store is restored from a
-/// copy: see [`crate::node::store_revision::StoreRevision`].
+/// copy: see [`crate::node::era_revision::EraRevision`].
 pub type RevisionNumber = u64;
 
 /// A client connection.
--- a/src/node/store_revision.rs
+++ b/src/node/era_revision.rs
@@ -1,4 +1,4 @@
-//! [`StoreRevision`]: a revision of the store together with the era of the store in which it was
+//! [`EraRevision`]: a revision of the store together with the era of the store in which it was
 //! given out.
 //!
 //! A store that is restored from a copy gives revisions out again, in a new era. Only the two
@@ -16,14 +16,14 @@
 /// A revision of the store and its era. Later ones compare as greater.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, derive_more::Display)]
 #[display("{era}/{revision}")]
-pub struct StoreRevision {
+pub struct EraRevision {
     /// Era of the store.
     pub era: EraNumber,
     /// Revision within the era.
     pub revision: u64,
 }
 
-impl StoreRevision {
+impl EraRevision {
     /// Returns both as one number, in the same order.
     #[must_use]
     pub const fn number(self) -> edge::RevisionNumber {
--- a/src/node/gauges.rs
+++ b/src/node/gauges.rs
@@ -1,13 +1,13 @@
 //! Gauges of the node's state, updated when the metrics are scraped.
 
-use crate::node::{edge, node_tables, store_revision};
+use crate::node::{edge, era_revision, node_tables};
 
 /// Updates all gauges.
 pub fn update<E: edge::NodeEdge>(tables: &node_tables::NodeTables<E>) {
     metrics::gauge!("persimmontack_sessions").set(f64::from(tables.sessions.get()));
     let list_age = tables.isolation.store_answer_age(tables.edge.boot_time());
     metrics::gauge!("persimmontack_list_age_seconds").set(list_age.as_secs_f64());
-    let revision = store_revision::StoreRevision::from_number(tables.revision.get());
+    let revision = era_revision::EraRevision::from_number(tables.revision.get());
     metrics::gauge!("persimmontack_store_era").set(node_tables::u64_gauge(revision.era));
     metrics::gauge!("persimmontack_members").set(f64::from(tables.member_count()));
     for pool in tables.pools() {
@@ -28,7 +28,7 @@
     }
     for group in tables.groups() {
         let name = group.group.clone();
-        let decision = store_revision::StoreRevision::from_number(group.latest_decision());
+        let decision = era_revision::EraRevision::from_number(group.latest_decision());
         let decision = node_tables::u64_gauge(decision.revision);
         metrics::gauge!("persimmontack_decision_number", "group" => name.clone()).set(decision);
         let primary = f64::from(u32::from(group.primary().is_some()));
--- a/src/node/node_tables.rs
+++ b/src/node/node_tables.rs
@@ -12,7 +12,7 @@
 use crate::model::ids;
 use crate::node::{
     config, edge, group, hosts, isolation, limits, member, monitor, node_log, peers, pool,
-    upstream_entry,
+    removal_reason, removed_upstreams, upstream_entry,
 };
 
 thread_local! {
@@ -25,20 +25,6 @@
     START.with(tokio::time::Instant::elapsed)
 }
 
-/// Why an upstream was removed from the list.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
-pub enum RemovalReason {
-    /// It was leaving, and has left.
-    #[display("left")]
-    Left,
-    /// Its entry has vanished from the store.
-    #[display("vanished")]
-    Vanished,
-    /// It has restarted.
-    #[display("reborn")]
-    Restarted,
-}
-
 /// The state that all tasks of a node share: the configuration, the upstream pools, the groups and
 /// the member VMs.
 #[derive(Debug)]
@@ -51,10 +37,7 @@
     pub own_entry: member::MemberEntry,
     config: cell::RefCell<Option<rc::Rc<config::NodeConfig>>>,
     pools: cell::RefCell<collections::BTreeMap<ids::UpstreamId, rc::Rc<pool::UpstreamPool<E>>>>,
-    /// Upstreams that were removed, the age of their last entries, and when that was.
-    removed: cell::RefCell<
-        collections::BTreeMap<ids::UpstreamId, (upstream_entry::EntryAge, time::Duration)>,
-    >,
+    removed: cell::RefCell<removed_upstreams::RemovedUpstreams>,
     groups: cell::RefCell<collections::BTreeMap<ids::GroupId, rc::Rc<group::GroupState>>>,
     members: cell::RefCell<collections::BTreeMap<ids::VmId, member::MemberEntry>>,
     /// Cached hosts of each group; cleared when the members or the configuration change.
@@ -172,7 +155,7 @@
                 || old.group != entry.group
         });
         if restarted {
-            self.remove_upstream(&entry.upstream, RemovalReason::Restarted);
+            self.remove_upstream(&entry.upstream, removal_reason::RemovalReason::Restarted);
         }
         let known = old.filter(|_| !restarted);
         let same = |known: &upstream_entry::UpstreamEntry| {
@@ -228,24 +211,13 @@
     /// Returns whether an entry is from before the one that is known, as a restored store may have it.
     fn is_outdated(&self, entry: &upstream_entry::UpstreamEntry) -> bool {
         if let Some(pool) = self.pool(&entry.upstream) {
-            return entry.is_older_than(&pool.entry().age());
+            return entry.age().is_before(pool.entry().age());
         }
-        let removed = self.removed.borrow();
-        removed
-            .get(&entry.upstream)
-            .is_some_and(|(age, _removed_at)| entry.is_older_than(age))
-    }
-
-    /// Records the age of the last entry of an upstream that is removed.
-    fn record_removed(&self, entry: &upstream_entry::UpstreamEntry) {
-        let now = monotonic_now();
-        let mut removed = self.removed.borrow_mut();
-        removed.retain(|_, (_, at)| now.saturating_sub(*at) < limits::REMOVED_MEMORY);
-        removed.insert(entry.upstream.clone(), (entry.age(), now));
+        self.removed.borrow().has_later(entry)
     }
 
     /// Removes an upstream and closes its connections.
-    pub fn remove_upstream(&self, upstream: &str, reason: RemovalReason) {
+    pub fn remove_upstream(&self, upstream: &str, reason: removal_reason::RemovalReason) {
         let pool = self.pools.borrow_mut().remove(upstream);
         let Some(pool) = pool else {
             return;
@@ -255,14 +227,16 @@
             &[("upstream", &upstream), ("reason", &reason)],
         );
         pool.retire();
-        self.record_removed(&pool.entry());
+        self.removed
+            .borrow_mut()
+            .record(&pool.entry(), monotonic_now());
         let (group, leaving) = pool.read_entry(|entry| (entry.group.clone(), entry.leaving));
         let group = self.group(&group);
         let fenced = group
             .primary()
             .is_some_and(|primary| pool.is_fenced_under(&primary));
         group.counted.remove_early(upstream);
-        if reason == RemovalReason::Vanished {
+        if reason == removal_reason::RemovalReason::Vanished {
             group.counted.record_vanished();
         }
         if leaving && !fenced {
@@ -556,58 +530,3 @@
     // Versions and counts stay far below the 53 bits that a gauge holds exactly.
     f64::from(u32::try_from(value).unwrap_or(u32::MAX))
 }
-
-/// Tracks a request to an upstream until it is answered or lost.
-#[derive(Debug)]
-pub struct RunningGuard<E: edge::NodeEdge> {
-    pool: rc::Rc<pool::UpstreamPool<E>>,
-    started: time::Duration,
-    ended: bool,
-}
-
-impl<E: edge::NodeEdge> RunningGuard<E> {
-    /// Records that a request was sent.
-    #[must_use]
-    pub fn new(pool: rc::Rc<pool::UpstreamPool<E>>) -> Self {
-        let started = monotonic_now();
-        pool.update_health(|health| health.record_sent(started));
-        Self {
-            pool,
-            started,
-            ended: false,
-        }
-    }
-
-    /// Records that a part of the answer arrived.
-    pub fn record_progress(&self) {
-        let now = monotonic_now();
-        self.pool.update_health(|health| {
-            health.record_answer(now, None);
-            health.record_sent(now);
-        });
-    }
-
-    /// Records that the whole answer arrived. Its duration updates the mean answer time if the
-    /// request was a statement.
-    pub fn finish(mut self, statement: bool) {
-        self.ended = true;
-        let now = monotonic_now();
-        let elapsed = statement.then(|| now.saturating_sub(self.started));
-        let sent = self.started;
-        self.pool.update_health(|health| {
-            health.record_answer(now, elapsed);
-            health.record_reached(sent);
-        });
-        if elapsed.is_some() {
-            self.pool.record_load(elapsed);
-        }
-    }
-}
-
-impl<E: edge::NodeEdge> Drop for RunningGuard<E> {
-    fn drop(&mut self) {
-        if !self.ended {
-            self.pool.update_health(|health| health.record_lost());
-        }
-    }
-}
--- a/src/node/table_follower.rs
+++ b/src/node/table_follower.rs
@@ -8,8 +8,8 @@
 
 use crate::model::ids;
 use crate::node::{
-    claims, edge, group, limits, monitor, node_log, node_tables, stop, store_revision,
-    watch_schedule,
+    claims, edge, era_revision, group, limits, monitor, node_log, node_tables, removal_reason,
+    stop, watch_schedule,
 };
 
 /// Keeps the tables up to date with the store as long as the node runs.
@@ -221,8 +221,8 @@
     /// Notices from the revision of a listing that the store was restored from a copy.
     fn check_restore(&self, revision: edge::RevisionNumber) {
         let known = self.tables.revision.get();
-        let before = store_revision::StoreRevision::from_number(known);
-        let revision = store_revision::StoreRevision::from_number(revision);
+        let before = era_revision::EraRevision::from_number(known);
+        let revision = era_revision::EraRevision::from_number(revision);
         if known == 0 || revision.era == before.era {
             return;
         }
@@ -293,7 +293,7 @@
                     .is_some_and(|pool| pool.read_entry(|entry| entry.leaving));
                 if leaving {
                     self.tables
-                        .remove_upstream(&upstream, node_tables::RemovalReason::Left);
+                        .remove_upstream(&upstream, removal_reason::RemovalReason::Left);
                 } else {
                     self.record_vanished(VanishedEntry::Upstream(upstream));
                 }
@@ -369,7 +369,7 @@
             }
             match what {
                 VanishedEntry::Upstream(upstream) => {
-                    tables.remove_upstream(upstream, node_tables::RemovalReason::Vanished);
+                    tables.remove_upstream(upstream, removal_reason::RemovalReason::Vanished);
                 }
                 VanishedEntry::Member(member) => tables.remove_member(member),
             }
--- a/src/node/upstream_entry.rs
+++ b/src/node/upstream_entry.rs
@@ -3,9 +3,7 @@
 use std::net;
 
 use crate::model::ids;
-
-/// Incarnation of an upstream that does not tell it.
-const UNKNOWN_INCARNATION: ids::IncarnationId = 0;
+use crate::node::entry_age;
 
 /// The entry of an upstream in the store's list.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -31,28 +29,12 @@
 }
 
 impl UpstreamEntry {
-    /// Returns whether this entry is from before `known`, in the same run of the upstream. A store that
-    /// was restored from a copy may have such a one.
-    #[must_use]
-    pub const fn is_older_than(&self, known: &EntryAge) -> bool {
-        self.incarnation != UNKNOWN_INCARNATION
-            && self.incarnation == known.incarnation
-            && self.sequence < known.sequence
-    }
-
     /// Returns the age of this entry.
     #[must_use]
-    pub const fn age(&self) -> EntryAge {
-        EntryAge {
+    pub const fn age(&self) -> entry_age::EntryAge {
+        entry_age::EntryAge {
             incarnation: self.incarnation,
             sequence: self.sequence,
         }
     }
 }
-
-/// Run of an upstream, and the change in it, that an entry is from.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct EntryAge {
-    incarnation: ids::IncarnationId,
-    sequence: u64,
-}
--- a/src/node/upstream_session.rs
+++ b/src/node/upstream_session.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 
 use crate::node::edge::UpstreamLink as _;
-use crate::node::{answers, command, edge, node_tables, pool, request, session_state};
+use crate::node::{answers, command, edge, pool, request, running_guard, session_state};
 
 /// Number of prepared statements on one connection at which the connection is reset.
 const MAX_PREPARED: usize = 64;
@@ -166,7 +166,7 @@
         &mut self,
         commands: [&command::UpstreamCommand; N],
     ) -> io::Result<[answers::UpstreamAnswer; N]> {
-        let guard = node_tables::RunningGuard::new(rc::Rc::clone(&self.pool));
+        let guard = running_guard::RunningGuard::new(rc::Rc::clone(&self.pool));
         for command in commands {
             self.link.queue(command);
         }
--- a/standins/src/cluster/cluster_edge.rs
+++ b/standins/src/cluster/cluster_edge.rs
@@ -7,7 +7,7 @@
 use std::time;
 
 use persimmontack::model::ids;
-use persimmontack::node::{edge, member, store_revision, upstream_entry, watch_schedule};
+use persimmontack::node::{edge, era_revision, member, upstream_entry, watch_schedule};
 
 use crate::cluster::{cluster_link, cluster_state, cut_table, peer_network, platform_state};
 
@@ -20,7 +20,7 @@
 #[derive(Clone, Debug)]
 pub struct ClusterLease {
     vm: ids::VmId,
-    era: store_revision::EraNumber,
+    era: era_revision::EraNumber,
 }
 
 /// Handle of one VM to the shared simulated cluster.
@@ -139,7 +139,7 @@
         revision: edge::RevisionNumber,
         wait: time::Duration,
     ) -> Result<edge::ControlChanges, edge::StoreError> {
-        let revision = store_revision::StoreRevision::from_number(revision);
+        let revision = era_revision::EraRevision::from_number(revision);
         let limit = tokio::time::Instant::now() + wait;
         self.check_store().await?;
         loop {
--- a/standins/src/cluster/cluster_state.rs
+++ b/standins/src/cluster/cluster_state.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use persimmontack::model::{ids, log_position};
-use persimmontack::node::{answers, config, edge, member, store_revision, upstream_entry};
+use persimmontack::node::{answers, config, edge, era_revision, member, upstream_entry};
 use tokio::sync::Notify;
 
 use crate::cluster::{instance_state, pending_commit, platform_state};
@@ -22,7 +22,7 @@
     /// Changes to the store with their revisions, in order.
     pub events: Vec<(u64, edge::ControlChange)>,
     /// How often the store has been restored from a copy.
-    pub era: store_revision::EraNumber,
+    pub era: era_revision::EraNumber,
     /// Latest revision of the store within its era.
     pub revision: u64,
     /// Number of the latest decision on the primary of the group.
@@ -120,7 +120,7 @@
     #[must_use]
     pub const fn number(&self, revision: u64) -> edge::RevisionNumber {
         let era = self.era;
-        store_revision::StoreRevision { era, revision }.number()
+        era_revision::EraRevision { era, revision }.number()
     }
 
     /// Copies the store.
--- a/tests/node_restored_store.rs
+++ b/tests/node_restored_store.rs
@@ -6,8 +6,8 @@
 
 use node_support as support;
 use persimmontack::node::edge::{ControlChange, NodeEdge};
+use persimmontack::node::era_revision::EraRevision;
 use persimmontack::node::limits;
-use persimmontack::node::store_revision::StoreRevision;
 use standins::cluster::cluster_state;
 
 /// Guards against VMs that drop each other as members, because the restored store lacks their entries
@@ -165,6 +165,6 @@
         .await;
         assert!(!uninformed(&node));
         let number = node.tables.group(cluster_state::GROUP).latest_decision();
-        assert_eq!(StoreRevision::from_number(number).era, 1);
+        assert_eq!(EraRevision::from_number(number).era, 1);
     });
 }
