--- a/src/node/era_revision.rs
+++ b/src/node/era_revision.rs
@@ -13,6 +13,9 @@
 /// revision can be read in logs.
 const ERA_SPAN: u64 = 1_000_000_000_000;
 
+/// Highest era whose revisions have numbers of their own.
+pub const MAX_ERA: EraNumber = u64::MAX / ERA_SPAN - 1;
+
 /// A revision of the store and its era. Later ones compare as greater.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, derive_more::Display)]
 #[display("{era}/{revision}")]
