Promote only a replica that holds what the latest term began with

One replica received nothing, the primary went dark, and the other replica, which alone held the latest commits, was rightly promoted. Its own commits hung, since nothing was left to receive them. Once the dark upstream was no longer listed, a decision because of the stall promoted the replica that had received nothing, over a primary that answered and held everything.

Cause: a decision took the longest log among the replicas for complete. That holds for commits of the primary's term. For commits of earlier terms, the primary itself may be the replica that confirmed them, and it is left out of the comparison. The guard by the acknowledged position covered only what the deciding VM had told its own callers.

Change: - A log that ends in an earlier term has to reach the position from which the latest term began (decide: LogEvidence). The deciding VM knows it from its comparison; every host asks the new primary for it; the end of the decision writes it to the store, where a VM that starts later finds it. Where it is not known, the log has to reach everything that any host has seen acknowledged. - The replies to the notice of a decision carry what each host knows, so commits told by other VMs count. - The upstreams are asked for their logs before a number is claimed and before a replica is fenced, and the old primary is asked as well.

The stand-in's promotion gave its log to replicas that receive nothing, which hid the fault; it no longer does.

Two tests changed: a_decision_that_was_overtaken_lifts_no_fence and an_abandoned_decision_leaves_no_fence brought about fences by a decision that waits for a missing replica. Such a decision sets no fences any more, so a busy platform keeps the decision waiting instead. Their assertions are unchanged.

--- a/src/model/mod.rs
+++ b/src/model/mod.rs
@@ -8,6 +8,7 @@
 pub mod refusal_reason;
 pub mod retry_reason;
 pub mod sql_state;
+pub mod term_start;
 pub mod upstream_spec;
 pub mod upstream_state;
 pub mod vm_record;
--- a/src/node/acknowledgement.rs
+++ b/src/node/acknowledgement.rs
@@ -13,7 +13,9 @@
 use tokio::time::Instant;
 
 use crate::model::{ids, log_position};
-use crate::node::{edge, group, isolation, limits, node_log, node_tables, pool, probe, request};
+use crate::node::{
+    commit_moment, edge, group, isolation, limits, node_log, node_tables, pool, probe, request,
+};
 
 /// A commit that an upstream has acknowledged.
 #[derive(Clone, Debug)]
@@ -26,8 +28,8 @@
     pub upstream: ids::UpstreamId,
     /// Log position of the commit.
     pub position: log_position::LogPosition,
-    /// When the commit was sent, by [`edge::NodeEdge::boot_time`].
-    pub sent_at: time::Duration,
+    /// When the commit was sent.
+    pub moment: commit_moment::CommitMoment,
 }
 
 /// Why the acknowledgement of an upstream is not sufficient.
@@ -188,13 +190,13 @@
     let is_open = |pool: &rc::Rc<pool::UpstreamPool<E>>| {
         let leaving = pool.read_entry(|entry| entry.leaving);
         let fenced_at = pool.fenced_at(&commit.upstream);
-        let fenced = fenced_at.is_some_and(|fenced_at| fenced_at <= commit.sent_at);
+        let fenced = fenced_at.is_some_and(|fenced_at| fenced_at <= commit.moment.sent_at);
         leaving && *pool.upstream() != commit.upstream && !fenced
     };
     let has_left = commit
         .group
         .leaver_gone_at()
-        .is_some_and(|gone_at| commit.sent_at < gone_at + limits::LEAVER_GRACE);
+        .is_some_and(|gone_at| commit.moment.sent_at < gone_at + limits::LEAVER_GRACE);
     has_left || tables.pools_of(&commit.group.group).iter().any(is_open)
 }
 
--- a/src/node/claims.rs
+++ b/src/node/claims.rs
@@ -2,7 +2,7 @@
 
 use std::rc;
 
-use crate::node::{edge, group, limits, node_log, node_tables, primary_change};
+use crate::node::{edge, group, limits, node_log, node_tables, primary_change, term_search};
 
 /// Why no number could be claimed for a decision.
 #[derive(Clone, Debug, PartialEq, Eq, derive_more::Display)]
@@ -103,7 +103,8 @@
     }
 }
 
-/// Publishes in the store that a decision has ended, unless a later number has been claimed.
+/// Publishes in the store that a decision has ended and, if it is known, where the primary's term
+/// began, unless a later number has been claimed.
 ///
 /// # Errors
 ///
@@ -116,13 +117,18 @@
     if group.latest_decision() != number {
         return Err(edge::StoreError::Conflict);
     }
-    let ended = claim(tables, group, number, &edge::ClaimPurpose::Ended).await?;
+    let purpose = match term_search::await_start(tables, group).await {
+        Some(start) => edge::ClaimPurpose::Promoted(start),
+        None => edge::ClaimPurpose::Ended,
+    };
+    let ended = claim(tables, group, number, &purpose).await?;
     node_log::info(
         "decision_closed",
         &[
             ("group", &group.group),
             ("decision", &number),
             ("number", &ended),
+            ("purpose", &purpose),
         ],
     );
     tables.changed.notify_waiters();
--- a/src/node/decision.rs
+++ b/src/node/decision.rs
@@ -9,10 +9,10 @@
 use futures::future;
 use tokio::time::Instant;
 
-use crate::model::{ids, log_position};
+use crate::model::{ids, log_position, term_start};
 use crate::node::{
-    command, edge, group, leadership, limits, monitor, node_log, node_tables, notices, pool,
-    primary_change, probe, promotion,
+    command, edge, group, leadership, limits, log_evidence, log_knowledge, log_survey, monitor,
+    node_log, node_tables, notices, pool, primary_change, probe, promotion,
 };
 
 /// How a decision ended.
@@ -24,6 +24,9 @@
     /// The group has a primary that answers, so no promotion was needed.
     #[display("kept {_0}")]
     Kept(ids::UpstreamId),
+    /// No decision was begun, since no upstream may be promoted yet, for this reason.
+    #[display("no successor yet: {_0}")]
+    Waiting(String),
     /// Another VM has claimed a later number.
     #[display("another VM decides")]
     Overtaken,
@@ -53,6 +56,10 @@
     pub fenced: Vec<rc::Rc<pool::UpstreamPool<E>>>,
     /// Task that notifies the other hosts of this decision.
     notified: Option<tokio::task::JoinHandle<notices::NoticeReplies>>,
+    /// Replies of the other hosts.
+    replies: notices::NoticeReplies,
+    /// Log that the next primary begins its term with, if it is known before the promotion.
+    successor_log: Option<log_position::LogPosition>,
 }
 
 impl<'a, E: edge::NodeEdge> Decision<'a, E> {
@@ -79,6 +86,8 @@
             change,
             fenced: Vec::new(),
             notified: Some(tokio::task::spawn_local(notified)),
+            replies: notices::NoticeReplies::default(),
+            successor_log: None,
         }
     }
 
@@ -88,6 +97,7 @@
         let listed: Vec<_> = pools.iter().map(|pool| pool.upstream().as_str()).collect();
         let age = self.tables.list_age().unwrap_or_default();
         let primary = self.group.primary();
+        let log = self.group.log_knowledge();
         node_log::warn(
             "decision_begun",
             &[
@@ -96,7 +106,8 @@
                 ("trouble", &problem),
                 ("primary", &primary.as_deref().unwrap_or("-")),
                 ("ends", &self.change.ends),
-                ("acknowledged", &format_position(self.group.acknowledged())),
+                ("acknowledged", &format_position(log.acknowledged)),
+                ("term_start", &format_start(log.term_start)),
                 ("listed", &listed.join(",")),
                 ("list_age_ms", &age.as_millis()),
             ],
@@ -126,8 +137,9 @@
         }
     }
 
-    /// Fences the replicas, and returns the one to promote once its log is known to hold every
-    /// acknowledged commit.
+    /// Returns the replica to promote once its log is known to hold every acknowledged commit. The
+    /// replicas are fenced only when a survey shows that one of them does: a fenced replica receives
+    /// nothing, and may be the only one with which the primary could commit again.
     async fn fail_over(
         &mut self,
         problem: monitor::GroupProblem,
@@ -137,23 +149,48 @@
         {
             return Err(DecisionEnd::Kept(kept));
         }
+        // Upstreams that join before all hosts know of the decision are compared as well.
+        self.hosts_notified().await?;
+        let stalled = problem == monitor::GroupProblem::Stalled;
+        let mut head = None;
         loop {
             let old = self.group.primary();
-            let candidates = self.fence_all_but(old.as_deref(), None).await;
-            let choice = promotion::choose_failover(&candidates, self.group.acknowledged());
-            self.log_step(&choice, &candidates, None);
+            let survey = log_survey::LogSurvey::take(self.tables, self.group).await;
+            if self.group.term() > self.change.ends {
+                return Err(DecisionEnd::Outdated);
+            }
+            if let Some(kept) = &old
+                && stalled
+                && survey.is_replicated(head)
+            {
+                return Err(DecisionEnd::Kept(kept.clone()));
+            }
+            head = survey.head;
+            let mut candidates = survey.candidates;
+            let mut choice = promotion::choose_failover(&candidates, &self.evidence());
+            if matches!(choice, promotion::PromotionChoice::Promote(_)) {
+                candidates = self.fence_all_but(old.as_deref(), None).await;
+                choice = promotion::choose_failover(&candidates, &self.evidence());
+            }
+            self.log_step(&choice, &candidates, head);
             match choice {
                 promotion::PromotionChoice::Promote(upstream) => {
-                    if self.hosts_notified().await? {
-                        return Ok(upstream);
-                    }
+                    let is_chosen =
+                        |candidate: &&promotion::PromotionCandidate| candidate.upstream == upstream;
+                    let chosen = candidates.iter().find(is_chosen);
+                    self.successor_log = chosen.and_then(|candidate| candidate.received);
+                    return Ok(upstream);
                 }
                 promotion::PromotionChoice::Nothing => {
                     return Err(DecisionEnd::GaveUp("nothing to promote".to_owned()));
                 }
+                promotion::PromotionChoice::CatchUp(upstream, deficit)
+                    if !self.fenced.is_empty() =>
+                {
+                    return Err(DecisionEnd::GaveUp(format!("{upstream} lacks {deficit}")));
+                }
                 promotion::PromotionChoice::Await(upstream)
-                | promotion::PromotionChoice::CatchUp(upstream) => {
-                    let stalled = problem == monitor::GroupProblem::Stalled;
+                | promotion::PromotionChoice::CatchUp(upstream, _) => {
                     if let Some(kept) = old
                         && !stalled
                         && self.tables.has_primary(self.group)
@@ -167,16 +204,35 @@
         }
     }
 
-    /// Waits until the other hosts have been notified of the decision. Returns `true` if that was
-    /// already done; otherwise the upstreams are compared again, since some may have joined
-    /// meanwhile.
+    /// Returns what is known about the commits that a successor must hold.
+    fn evidence(&self) -> log_evidence::LogEvidence {
+        let own = self.group.log_knowledge();
+        let mut hosts = own;
+        hosts.merge(self.replies.log);
+        log_evidence::LogEvidence {
+            own,
+            hosts,
+            complete: self.replies.complete,
+        }
+    }
+
+    /// Waits until the other hosts have been notified of the decision, and records what they know.
+    /// Returns `true` if that was already done; otherwise the upstreams are compared again, since
+    /// some may have joined meanwhile.
     async fn hosts_notified(&mut self) -> Result<bool, DecisionEnd> {
         let Some(notified) = self.notified.take() else {
             return Ok(true);
         };
         match notified.await {
             Ok(replies) if replies.latest > self.number => Err(DecisionEnd::Overtaken),
-            Ok(_replies) => Ok(false),
+            Ok(replies) => {
+                self.group.learn(log_knowledge::LogKnowledge {
+                    acknowledged: None,
+                    ..replies.log
+                });
+                self.replies = replies;
+                Ok(false)
+            }
             Err(error) => Err(DecisionEnd::GaveUp(error.to_string())),
         }
     }
@@ -209,7 +265,8 @@
         };
         loop {
             let mut candidates = self.fence_all_but(Some(&old), Some(&target)).await;
-            let Some(primary_position) = self.primary_position(&old).await else {
+            let Some(primary_position) = self.query_lead(&old).await.and_then(|lead| lead.position)
+            else {
                 let reason = "the primary stopped answering".to_owned();
                 return Err(DecisionEnd::GaveUp(reason));
             };
@@ -233,7 +290,7 @@
                 }
                 promotion::PromotionChoice::Nothing
                 | promotion::PromotionChoice::Await(_)
-                | promotion::PromotionChoice::CatchUp(_) => {
+                | promotion::PromotionChoice::CatchUp(..) => {
                     self.pause(|| format!("{target} did not catch up")).await?;
                 }
             }
@@ -246,26 +303,20 @@
         candidates: &[promotion::PromotionCandidate],
         primary_position: Option<log_position::LogPosition>,
     ) {
-        let seen: Vec<_> = candidates
-            .iter()
-            .map(|candidate| {
-                format!(
-                    "{}:{}:{}",
-                    candidate.upstream,
-                    format_position(candidate.received),
-                    if candidate.fenced { "fenced" } else { "open" }
-                )
-            })
-            .collect();
+        let evidence = self.evidence();
         node_log::info(
             "decision_step",
             &[
                 ("group", &self.group.group),
                 ("decision", &self.number),
                 ("choice", &format!("{choice:?}")),
-                ("candidates", &seen.join(",")),
+                ("candidates", &log_survey::LogSurvey::describe(candidates)),
                 ("head", &format_position(primary_position)),
-                ("acknowledged", &format_position(self.group.acknowledged())),
+                ("acknowledged", &format_position(evidence.own.acknowledged)),
+                ("told", &format_position(evidence.hosts.told)),
+                ("term", &evidence.hosts.term),
+                ("term_start", &format_start(evidence.hosts.term_start)),
+                ("all_hosts", &evidence.complete),
             ],
         );
     }
@@ -288,14 +339,6 @@
             .then(|| pool.upstream().clone())
     }
 
-    async fn primary_position(&self, upstream: &str) -> Option<log_position::LogPosition> {
-        let pool = self.tables.pool(upstream)?;
-        match probe::query_role(&pool, self.group, false).await {
-            probe::RoleAnswer::Primary(lead) => lead.position,
-            probe::RoleAnswer::Replica | probe::RoleAnswer::Silent => None,
-        }
-    }
-
     /// Fences every upstream except the old primary and the target, and returns their states.
     async fn fence_all_but(
         &mut self,
@@ -325,10 +368,7 @@
                     self.fenced.push(rc::Rc::clone(pool));
                 }
             }
-            // A replica that is fenced under this primary receives nothing from it, so it has
-            // acknowledged none of its commits.
-            let cut_off = old.is_some_and(|old| pool.is_fenced_under(old));
-            if candidate.fenced || !(candidate.leaving && cut_off) {
+            if is_compared(&candidate, pool, old) {
                 candidates.push(candidate);
             }
         }
@@ -410,19 +450,30 @@
     }
 
     async fn is_primary(&self, upstream: &str) -> bool {
-        let Some(pool) = self.tables.pool(upstream) else {
-            return false;
-        };
-        let answer = probe::query_role(&pool, self.group, false).await;
-        matches!(answer, probe::RoleAnswer::Primary(_))
+        self.query_lead(upstream).await.is_some()
+    }
+
+    /// Returns what an upstream reports if it acts as the primary.
+    async fn query_lead(&self, upstream: &str) -> Option<probe::PrimaryLead> {
+        let pool = self.tables.pool(upstream)?;
+        match probe::query_role(&pool, self.group, false).await {
+            probe::RoleAnswer::Primary(lead) => Some(lead),
+            probe::RoleAnswer::Replica | probe::RoleAnswer::Silent => None,
+        }
     }
 
     async fn await_promotion(&self, upstream: ids::UpstreamId) -> DecisionEnd {
         let deadline = Instant::now() + limits::PROMOTION_EFFECT_TIMEOUT;
         loop {
-            if self.is_primary(&upstream).await {
+            if let Some(lead) = self.query_lead(&upstream).await {
                 self.tables
                     .set_primary(self.group, Some(&upstream), "promoted");
+                self.group.set_primary_term(&upstream, lead.term);
+                if let Some(position) = self.successor_log {
+                    let term = lead.term;
+                    self.group
+                        .record_term_start(term_start::TermStart { term, position });
+                }
                 return DecisionEnd::Promoted(upstream);
             }
             if self.group.latest_decision() != self.number {
@@ -448,6 +499,23 @@
     }
 }
 
+/// Returns whether a decision has to compare an upstream. A replica that leaves and is fenced under
+/// this primary receives nothing from it, so it has acknowledged none of its commits.
+pub fn is_compared<E: edge::NodeEdge>(
+    candidate: &promotion::PromotionCandidate,
+    pool: &pool::UpstreamPool<E>,
+    old: Option<&str>,
+) -> bool {
+    let cut_off = old.is_some_and(|old| pool.is_fenced_under(old));
+    candidate.fenced || !(candidate.leaving && cut_off)
+}
+
+/// Formats the start of a term for the log, or returns `-` if it is not known.
+#[must_use]
+pub fn format_start(start: Option<term_start::TermStart>) -> String {
+    start.map_or_else(|| "-".to_owned(), |start| start.to_string())
+}
+
 /// Formats a position for the log, or returns `-` if there is none.
 #[must_use]
 pub fn format_position(position: Option<log_position::LogPosition>) -> String {
--- a/src/node/edge.rs
+++ b/src/node/edge.rs
@@ -7,7 +7,7 @@
 
 use tokio::io::{AsyncRead, AsyncWrite};
 
-use crate::model::ids;
+use crate::model::{ids, term_start};
 use crate::node::{
     answers, command, config, member, primary_change, request, session_state, upstream_entry,
     watch_schedule,
@@ -125,6 +125,8 @@
     MemberGone(ids::VmId),
     /// A VM has claimed a number for a decision on the primary of a group.
     Decision(ids::GroupId, DecisionClaim),
+    /// It became known where the latest term of a group began.
+    TermStart(ids::GroupId, term_start::TermStart),
 }
 
 /// Why a decision number is claimed.
@@ -139,6 +141,10 @@
     /// To mark the end of the preceding decision.
     #[display("ended")]
     Ended,
+    /// To mark the end of the preceding decision, whose primary began this term. The store reports
+    /// both as changes of their own.
+    #[display("promoted")]
+    Promoted(term_start::TermStart),
 }
 
 /// A number that a VM has claimed for a decision on the primary of a group.
--- a/src/node/failover.rs
+++ b/src/node/failover.rs
@@ -11,7 +11,7 @@
 use crate::model::ids;
 use crate::node::{
     claims, command, decision, edge, group, limits, monitor, node_log, node_tables, notices, pool,
-    primary_change, probe, promotion,
+    primary_change, probe, promotion, successor_wait,
 };
 
 /// Claims a decision number, runs the decision, and cleans up after it. `previous` is the latest
@@ -23,7 +23,6 @@
     problem: monitor::GroupProblem,
     mut previous: edge::RevisionNumber,
 ) -> decision::DecisionEnd {
-    let deadline = tables.edge.boot_time() + limits::DECISION_TIMEOUT;
     // A promotion of an earlier decision that was never closed may still take effect.
     let pending = group.open_change(node_tables::monotonic_now()).is_some();
     if problem == monitor::GroupProblem::Stalled
@@ -31,7 +30,10 @@
     {
         return decision::DecisionEnd::Kept(primary);
     }
-    query_term(tables, group).await;
+    if let Err(end) = await_successor(tables, group, problem, previous).await {
+        return end;
+    }
+    let deadline = tables.edge.boot_time() + limits::DECISION_TIMEOUT;
     let mut fenced = Vec::new();
     loop {
         let successor = match problem {
@@ -78,6 +80,26 @@
     }
 }
 
+/// Waits until an upstream may be promoted, if the decision is to promote one for certain.
+async fn await_successor<E: edge::NodeEdge>(
+    tables: &rc::Rc<node_tables::NodeTables<E>>,
+    group: &rc::Rc<group::GroupState>,
+    problem: monitor::GroupProblem,
+    previous: edge::RevisionNumber,
+) -> Result<(), decision::DecisionEnd> {
+    match problem {
+        monitor::GroupProblem::NoPrimary
+        | monitor::GroupProblem::Silent
+        | monitor::GroupProblem::Stalled => {
+            successor_wait::await_successor(tables, group, problem, previous).await
+        }
+        monitor::GroupProblem::Leaving | monitor::GroupProblem::Abandoned => {
+            query_term(tables, group).await;
+            Ok(())
+        }
+    }
+}
+
 /// Ensures that no promotion of an earlier decision can still take effect. Returns whether that is
 /// certain.
 async fn rules_out_earlier<E: edge::NodeEdge>(
@@ -93,7 +115,9 @@
             Some(primary) => decision.confirm_primary(&primary).await,
             None => false,
         },
-        decision::DecisionEnd::Overtaken | decision::DecisionEnd::Unsettled(_) => false,
+        decision::DecisionEnd::Waiting(_)
+        | decision::DecisionEnd::Overtaken
+        | decision::DecisionEnd::Unsettled(_) => false,
     }
 }
 
@@ -118,7 +142,9 @@
 ) {
     match end {
         decision::DecisionEnd::Promoted(_) => claims::spawn_close(tables, group, number),
-        decision::DecisionEnd::Overtaken | decision::DecisionEnd::Unsettled(_) => {}
+        decision::DecisionEnd::Waiting(_)
+        | decision::DecisionEnd::Overtaken
+        | decision::DecisionEnd::Unsettled(_) => {}
         decision::DecisionEnd::Kept(_)
         | decision::DecisionEnd::Outdated
         | decision::DecisionEnd::GaveUp(_) => {
--- a/src/node/group.rs
+++ b/src/node/group.rs
@@ -4,8 +4,8 @@
 use std::time;
 
 use crate::decide::read_position;
-use crate::model::{ids, log_position};
-use crate::node::{counted_upstreams, edge, lead_proof, limits, primary_change};
+use crate::model::{ids, log_position, term_start};
+use crate::node::{counted_upstreams, edge, lead_proof, limits, log_knowledge, primary_change};
 
 /// Maximum number of reported positions that wait for the proof that the primary led. The oldest
 /// ones are dropped first, since newer ones serve the same reads.
@@ -39,7 +39,11 @@
     unproved: cell::RefCell<Vec<(time::Duration, log_position::LogPosition)>>,
     history: cell::RefCell<read_position::ConfirmedHistory>,
     newest_position_time: cell::Cell<Option<time::Duration>>,
-    acknowledged: cell::Cell<Option<log_position::LogPosition>>,
+    log: cell::Cell<log_knowledge::LogKnowledge>,
+    /// Highest position that the primary has reported: a commit that is sent later comes after it.
+    newest_reported: cell::Cell<Option<log_position::LogPosition>>,
+    /// Whether this VM asks the primary for the start of its term.
+    searching_start: cell::Cell<bool>,
     commits: cell::RefCell<Vec<(CommitNumber, time::Duration)>>,
     next_commit: cell::Cell<CommitNumber>,
     last_commit: cell::Cell<time::Duration>,
@@ -56,7 +60,6 @@
     leaver_gone_at: cell::Cell<Option<time::Duration>>,
     decision_ended_at: cell::Cell<Option<time::Duration>>,
     deciding: cell::Cell<bool>,
-    term: cell::Cell<ids::TermNumber>,
     reserved_number: cell::Cell<Option<edge::RevisionNumber>>,
 }
 
@@ -73,7 +76,9 @@
             unproved: cell::RefCell::default(),
             history: cell::RefCell::default(),
             newest_position_time: cell::Cell::default(),
-            acknowledged: cell::Cell::default(),
+            log: cell::Cell::default(),
+            newest_reported: cell::Cell::default(),
+            searching_start: cell::Cell::default(),
             commits: cell::RefCell::default(),
             next_commit: cell::Cell::default(),
             last_commit: cell::Cell::default(),
@@ -86,7 +91,6 @@
             leaver_gone_at: cell::Cell::default(),
             decision_ended_at: cell::Cell::default(),
             deciding: cell::Cell::default(),
-            term: cell::Cell::default(),
             reserved_number: cell::Cell::default(),
         }
     }
@@ -118,6 +122,7 @@
         if primary.is_some() {
             *self.history.borrow_mut() = read_position::ConfirmedHistory::default();
             self.newest_position_time.set(None);
+            self.newest_reported.set(None);
             self.commits.borrow_mut().clear();
         }
         true
@@ -149,6 +154,8 @@
         if !self.is_primary(upstream) {
             return;
         }
+        self.newest_reported
+            .set(self.newest_reported.get().max(Some(position)));
         let mut unproved = self.unproved.borrow_mut();
         if unproved.len() == UNPROVED_POSITIONS {
             unproved.remove(0);
@@ -211,16 +218,57 @@
         self.last_commit.set(now);
     }
 
-    /// Records a position up to which commits survive a change of the primary.
-    pub fn acknowledge(&self, position: log_position::LogPosition) {
-        self.acknowledged
-            .set(self.acknowledged.get().max(Some(position)));
+    /// Returns the highest position that the primary has reported. A commit that is sent now comes
+    /// after it.
+    #[must_use]
+    pub fn newest_reported(&self) -> Option<log_position::LogPosition> {
+        self.newest_reported.get()
     }
 
-    /// Returns the highest position that this node knows to be acknowledged.
+    /// Records that a caller is told of a commit. The primary reported `position` with it, which may
+    /// include later commits; the commit comes after `earlier`.
+    pub fn acknowledge(
+        &self,
+        position: log_position::LogPosition,
+        earlier: Option<log_position::LogPosition>,
+    ) {
+        let told = earlier.map(|earlier| {
+            let offset = position.offset.min(earlier.offset + 1);
+            log_position::LogPosition::new(position.term, offset)
+        });
+        self.learn(log_knowledge::LogKnowledge {
+            told,
+            acknowledged: Some(position),
+            ..log_knowledge::LogKnowledge::default()
+        });
+    }
+
+    /// Returns what this VM knows about the group's log.
     #[must_use]
-    pub fn acknowledged(&self) -> Option<log_position::LogPosition> {
-        self.acknowledged.get()
+    pub fn log_knowledge(&self) -> log_knowledge::LogKnowledge {
+        self.log.get()
+    }
+
+    /// Adds to what this VM knows about the group's log.
+    pub fn learn(&self, knowledge: log_knowledge::LogKnowledge) {
+        let mut log = self.log.get();
+        log.merge(knowledge);
+        self.log.set(log);
+    }
+
+    /// Records where a term began.
+    pub fn record_term_start(&self, start: term_start::TermStart) {
+        self.learn(log_knowledge::LogKnowledge {
+            term: start.term,
+            term_start: Some(start),
+            ..log_knowledge::LogKnowledge::default()
+        });
+    }
+
+    /// Sets whether this VM asks the primary for the start of its term, and returns the previous
+    /// value.
+    pub fn set_searching_start(&self, searching: bool) -> bool {
+        self.searching_start.replace(searching)
     }
 
     /// Returns for how long commits have been waiting without any success.
@@ -254,7 +302,9 @@
                     seen: now,
                 })
             }
-            edge::ClaimPurpose::Reserve | edge::ClaimPurpose::Ended => None,
+            edge::ClaimPurpose::Reserve
+            | edge::ClaimPurpose::Ended
+            | edge::ClaimPurpose::Promoted(_) => None,
         };
         *self.open_decision.borrow_mut() = open;
     }
@@ -394,13 +444,15 @@
     /// Returns the highest term that this node knows of.
     #[must_use]
     pub fn term(&self) -> ids::TermNumber {
-        let logged = self.acknowledged.get().map_or(0, |position| position.term);
-        self.term.get().max(logged)
+        self.log.get().term
     }
 
     /// Records a term that was seen.
     pub fn record_term(&self, term: ids::TermNumber) {
-        self.term.set(self.term.get().max(term));
+        self.learn(log_knowledge::LogKnowledge {
+            term,
+            ..log_knowledge::LogKnowledge::default()
+        });
     }
 
     /// Sets whether a decision of this VM is running.
--- a/src/node/leadership.rs
+++ b/src/node/leadership.rs
@@ -13,7 +13,9 @@
 
 use crate::decide::leadership::{self, LeadVerdict};
 use crate::model::ids;
-use crate::node::{command, edge, group, limits, node_log, node_tables, peer_list, pool, probe};
+use crate::node::{
+    command, edge, group, limits, node_log, node_tables, peer_list, pool, probe, term_search,
+};
 
 /// Returns whether the primary of the group still led at `since`, a time of
 /// [`edge::NodeEdge::boot_time`]. Waits for the round that asks for it, and starts one if needed.
@@ -199,6 +201,7 @@
     if term >= group.term() {
         tables.set_primary(group, Some(pool.upstream()), reason);
         group.set_primary_term(pool.upstream(), term);
+        term_search::spawn(group, pool, term);
         return true;
     }
     if group.is_primary(pool.upstream()) {
--- a/src/node/monitor.rs
+++ b/src/node/monitor.rs
@@ -8,7 +8,7 @@
 
 use crate::model::ids;
 use crate::node::{
-    claims, edge, failover, group, leadership, limits, node_log, node_tables, pool, probe,
+    claims, decision, edge, failover, group, leadership, limits, node_log, node_tables, pool, probe,
 };
 
 /// Why a group may need another primary.
@@ -179,7 +179,10 @@
         );
         metrics::counter!("persimmontack_decisions_total", "trouble" => problem.to_string())
             .increment(1);
-        group.record_decision_ended(node_tables::monotonic_now());
+        // Without a decision there is nothing to wait for before the next attempt.
+        if !matches!(end, decision::DecisionEnd::Waiting(_)) {
+            group.record_decision_ended(node_tables::monotonic_now());
+        }
         group.set_deciding(false);
         tables.changed.notify_waiters();
     });
--- a/src/node/notices.rs
+++ b/src/node/notices.rs
@@ -7,15 +7,28 @@
 use std::rc;
 
 use futures::future;
+use serde::{Deserialize, Serialize};
 
 use crate::link::{server, stream_kind};
-use crate::node::{edge, limits, node_log, node_tables, primary_change};
+use crate::node::{edge, limits, log_knowledge, node_log, node_tables, primary_change};
+
+/// Reply of a host to a notice. The host tells no caller of a commit that the decision may drop
+/// after it has replied.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+struct NoticeReply {
+    /// Latest decision number that it knows.
+    latest: edge::RevisionNumber,
+    /// What it knows about the group's log.
+    log: log_knowledge::LogKnowledge,
+}
 
 /// Replies of the other hosts of a group to a notice.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct NoticeReplies {
     /// Highest decision number that any of them knows.
     pub latest: edge::RevisionNumber,
+    /// What they know about the group's log.
+    pub log: log_knowledge::LogKnowledge,
     /// Whether all of them have replied.
     pub complete: bool,
 }
@@ -32,7 +45,7 @@
             .await
             .unwrap_or_else(|elapsed| Err(elapsed.to_string()));
         match result {
-            Ok(number) => Some(number),
+            Ok(reply) => Some(reply),
             Err(error) => {
                 node_log::info(
                     "notice_unconfirmed",
@@ -47,18 +60,26 @@
             }
         }
     });
-    let numbers = future::join_all(requests).await;
-    NoticeReplies {
-        latest: numbers.iter().flatten().copied().max().unwrap_or_default(),
-        complete: numbers.iter().all(Option::is_some),
+    let mut replies = NoticeReplies {
+        complete: true,
+        ..NoticeReplies::default()
+    };
+    for reply in future::join_all(requests).await {
+        let Some(reply) = reply else {
+            replies.complete = false;
+            continue;
+        };
+        replies.latest = replies.latest.max(reply.latest);
+        replies.log.merge(reply.log);
     }
+    replies
 }
 
 async fn notify_host<E: edge::NodeEdge>(
     tables: &node_tables::NodeTables<E>,
     host: &str,
     notice: &primary_change::ChangeNotice,
-) -> Result<edge::RevisionNumber, String> {
+) -> Result<NoticeReply, String> {
     let client = tables.peers.connect(tables, host).await?;
     let (mut writer, mut reader) = client
         .open(stream_kind::StreamKind::Lead)
@@ -71,8 +92,7 @@
     reader.expect().await.map_err(|error| error.to_string())
 }
 
-/// Records a decision of another VM, and replies with the latest decision number that this VM
-/// knows.
+/// Records a decision of another VM, and replies with what this VM knows.
 pub async fn serve_notice<E: edge::NodeEdge>(
     tables: rc::Rc<node_tables::NodeTables<E>>,
     mut stream: server::PeerStream,
@@ -99,7 +119,11 @@
             ],
         );
     }
-    if let Err(error) = stream.writer.send_last(&group.latest_decision()).await {
+    let reply = NoticeReply {
+        latest: group.latest_decision(),
+        log: group.log_knowledge(),
+    };
+    if let Err(error) = stream.writer.send_last(&reply).await {
         node_log::debug("peer_lost", &[("vm", &vm), ("reason", &error)]);
     }
 }
--- a/src/node/promotion.rs
+++ b/src/node/promotion.rs
@@ -1,10 +1,12 @@
 //! Chooses which upstream becomes the primary, as pure functions.
 //!
 //! A commit is acknowledged once one replica has received it. Among all replicas that could have
-//! acknowledged a commit, the one with the highest received position therefore holds every
-//! acknowledged commit. See `docs/node.md`, "Failover".
+//! acknowledged a commit of the primary's term, the one with the highest received position therefore
+//! holds every acknowledged commit of that term. For commits of earlier terms, the primary itself may
+//! have been that replica: see [`log_evidence`] and `docs/node.md`, "What a successor has to hold".
 
 use crate::model::{ids, log_position};
+use crate::node::log_evidence;
 
 /// State of one upstream of the group other than the primary that is being replaced.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -26,19 +28,18 @@
     Promote(ids::UpstreamId),
     /// Wait for this upstream: it has not been fenced, and might hold acknowledged commits.
     Await(ids::UpstreamId),
-    /// This upstream has to receive more first.
-    CatchUp(ids::UpstreamId),
+    /// This upstream has to receive more first, since it may lack acknowledged commits.
+    CatchUp(ids::UpstreamId, log_evidence::LogDeficit),
     /// There is nothing to promote.
     Nothing,
 }
 
 /// Chooses the successor of a primary that does not answer. The choice is deterministic: every VM
-/// chooses the same upstream from the same replicas. `acknowledged` is the highest position that
-/// this VM knows to be acknowledged.
+/// chooses the same upstream from the same replicas.
 #[must_use]
 pub fn choose_failover(
     candidates: &[PromotionCandidate],
-    acknowledged: Option<log_position::LogPosition>,
+    evidence: &log_evidence::LogEvidence,
 ) -> PromotionChoice {
     let missing = candidates.iter().find(|candidate| !candidate.fenced);
     if let Some(candidate) = missing {
@@ -50,10 +51,11 @@
     else {
         return PromotionChoice::Nothing;
     };
-    if best.received < acknowledged {
-        return PromotionChoice::CatchUp(best.upstream.clone());
+    let received = best.received.unwrap_or_default();
+    match evidence.find_deficit(received) {
+        Some(deficit) => PromotionChoice::CatchUp(best.upstream.clone(), deficit),
+        None => PromotionChoice::Promote(best.upstream.clone()),
     }
-    PromotionChoice::Promote(best.upstream.clone())
 }
 
 /// Chooses the target of a planned move while the primary still serves: the upstream with the
@@ -89,7 +91,10 @@
         Some(received) if received >= primary_position => {
             PromotionChoice::Promote(target.to_owned())
         }
-        Some(_) => PromotionChoice::CatchUp(target.to_owned()),
+        Some(_) => {
+            let deficit = log_evidence::LogDeficit::AcknowledgedCommit;
+            PromotionChoice::CatchUp(target.to_owned(), deficit)
+        }
         None => PromotionChoice::Nothing,
     }
 }
--- a/src/node/table_follower.rs
+++ b/src/node/table_follower.rs
@@ -258,7 +258,8 @@
                 edge::ControlChange::Config(_)
                 | edge::ControlChange::UpstreamGone(_)
                 | edge::ControlChange::MemberGone(_)
-                | edge::ControlChange::Decision(..) => {}
+                | edge::ControlChange::Decision(..)
+                | edge::ControlChange::TermStart(..) => {}
             }
             self.apply(change.clone());
         }
@@ -303,6 +304,9 @@
                 self.tables.add_member(&vm, entry);
             }
             edge::ControlChange::MemberGone(vm) => self.record_vanished(VanishedEntry::Member(vm)),
+            edge::ControlChange::TermStart(group, start) => {
+                self.tables.group(&group).record_term_start(start);
+            }
             edge::ControlChange::Decision(group, claim) => {
                 let group = self.tables.group(&group);
                 if claim.number > group.latest_decision() {
--- a/src/node/transaction.rs
+++ b/src/node/transaction.rs
@@ -11,8 +11,8 @@
 
 use crate::model::log_position;
 use crate::node::{
-    acknowledgement, answers, attempt, command, config, edge, group, leadership, limits, node_log,
-    node_tables, pool, reads, request, session_state, upstream_session, writes,
+    acknowledgement, answers, attempt, command, commit_moment, config, edge, group, leadership,
+    limits, node_log, node_tables, pool, reads, request, session_state, upstream_session, writes,
 };
 
 /// Outcome of a statement in a transaction, or of its commit.
@@ -146,8 +146,8 @@
                 return self.abort("no connection".to_owned());
             };
             let pool = rc::Rc::clone(session.pool());
-            let sent_at = pool.boot_time();
             let group = rc::Rc::clone(&self.plan.group);
+            let moment = commit_moment::CommitMoment::now(&pool, &group);
             let wrote = self.wrote;
             let sent = command.clone();
             let mut work = Box::pin(async move {
@@ -190,7 +190,7 @@
                 group: rc::Rc::clone(&self.plan.group),
                 upstream: pool.upstream().clone(),
                 position,
-                sent_at,
+                moment,
             };
             let confirmed = writes::confirm_commit(tables, &commit);
             return match tokio::time::timeout_at(deadline, confirmed).await {
--- a/src/node/writes.rs
+++ b/src/node/writes.rs
@@ -1,14 +1,13 @@
 //! Single writes outside a transaction. A write is retried only if it is known not to have run.
 
 use std::rc;
-use std::time;
 
 use tokio::time::Instant;
 
 use crate::model::{ids, log_position};
 use crate::node::{
-    acknowledgement, answers, attempt, command, config, edge, group, limits, node_log, node_tables,
-    pool, request, session_state, upstream_session,
+    acknowledgement, answers, attempt, command, commit_moment, config, edge, group, limits,
+    node_log, node_tables, pool, request, session_state, upstream_session,
 };
 
 /// A single write outside a transaction.
@@ -156,7 +155,7 @@
     let Some(command) = session.prepare_command(&job.session, &job.request, None) else {
         return WriteOutcome::NotRun(attempt::NotRun::NotPrepared);
     };
-    let sent_at = pool.boot_time();
+    let moment = commit_moment::CommitMoment::now(&pool, &job.group);
     match commit_exchange(&job.group, &mut session, &command).await {
         Ok(answer) => {
             match answer.error_code().and_then(attempt::not_run_reason) {
@@ -172,7 +171,7 @@
                 }
                 None => {
                     pool.release(session);
-                    acknowledge_write(&tables, &pool, &job, answer, sent_at).await
+                    acknowledge_write(&tables, &pool, &job, answer, moment).await
                 }
             }
         }
@@ -185,7 +184,7 @@
     pool: &pool::UpstreamPool<E>,
     job: &WriteJob,
     answer: answers::UpstreamAnswer,
-    sent_at: time::Duration,
+    moment: commit_moment::CommitMoment,
 ) -> WriteOutcome {
     let upstream = pool.upstream().clone();
     let Some(position) = answer.position.filter(|_| answer.result.is_ok()) else {
@@ -196,7 +195,7 @@
         group: rc::Rc::clone(&job.group),
         upstream: upstream.clone(),
         position,
-        sent_at,
+        moment,
     };
     match confirm_commit(tables, &commit).await {
         Ok(()) => WriteOutcome::Answered(upstream, answer, Some(position)),
@@ -239,8 +238,8 @@
 ) -> Result<(), String> {
     acknowledgement::await_durable(tables, commit).await?;
     let group = &commit.group;
-    group.report_position(&commit.upstream, commit.sent_at, commit.position);
-    group.acknowledge(commit.position);
+    group.report_position(&commit.upstream, commit.moment.sent_at, commit.position);
+    group.acknowledge(commit.position, commit.moment.earlier);
     Ok(())
 }
 
--- a/standins/src/cluster/cluster_edge.rs
+++ b/standins/src/cluster/cluster_edge.rs
@@ -264,6 +264,12 @@
                 .map(|instance| edge::ControlChange::Upstream(instance.entry.clone())),
         );
         changes.extend(state.latest_claim().cloned());
+        let group = || cluster_state::GROUP.to_owned();
+        changes.extend(
+            state
+                .term_start
+                .map(|start| edge::ControlChange::TermStart(group(), start)),
+        );
         Ok(edge::ControlChanges {
             changes,
             revision: state.number(state.revision),
@@ -328,10 +334,19 @@
             }
             let number = state.number(state.revision + 1);
             state.decision = number;
+            let stored = match purpose {
+                edge::ClaimPurpose::Promoted(start) => {
+                    state.term_start = Some(*start);
+                    let change = edge::ControlChange::TermStart(group.to_owned(), *start);
+                    state.events.push((state.revision + 1, change));
+                    edge::ClaimPurpose::Ended
+                }
+                purpose => purpose.clone(),
+            };
             let claim = edge::DecisionClaim {
                 number,
                 vm: node.to_owned(),
-                purpose: purpose.clone(),
+                purpose: stored,
             };
             state.record(edge::ControlChange::Decision(group.to_owned(), claim));
             Ok(number)
--- a/standins/src/cluster/cluster_state.rs
+++ b/standins/src/cluster/cluster_state.rs
@@ -4,7 +4,7 @@
 use std::time;
 
 use bytes::Bytes;
-use persimmontack::model::{ids, log_position};
+use persimmontack::model::{ids, log_position, term_start};
 use persimmontack::node::{answers, config, edge, era_revision, member, upstream_entry};
 use tokio::sync::Notify;
 
@@ -27,6 +27,8 @@
     pub revision: u64,
     /// Number of the latest decision on the primary of the group.
     pub decision: edge::RevisionNumber,
+    /// Start of the latest term for which the store has it.
+    pub term_start: Option<term_start::TermStart>,
     /// Whether the store answers.
     pub store_up: bool,
     /// Whether the store receives calls and answers none. Calls that it received then, or that
@@ -65,6 +67,7 @@
     events: Vec<(u64, edge::ControlChange)>,
     members: collections::BTreeMap<ids::VmId, member::MemberEntry>,
     decision: edge::RevisionNumber,
+    term_start: Option<term_start::TermStart>,
 }
 
 /// Wakes watches of the store.
@@ -83,6 +86,7 @@
             era: 0,
             revision: 1,
             decision: 0,
+            term_start: None,
             store_up: true,
             store_silent: false,
             lost_calls: 0,
@@ -131,6 +135,7 @@
             events: self.events.clone(),
             members: self.members.clone(),
             decision: self.decision,
+            term_start: self.term_start,
         }
     }
 
@@ -142,6 +147,7 @@
         self.events = copy.events;
         self.members = copy.members;
         self.decision = copy.decision;
+        self.term_start = copy.term_start;
         self.record(edge::ControlChange::Config(self.config.clone()));
         let listed = self.instances.values().filter(|instance| instance.listed);
         let entries: Vec<_> = listed.map(|instance| instance.entry.clone()).collect();
@@ -396,9 +402,12 @@
                 continue;
             }
             instance.fenced = 0;
-            instance.term = term;
             instance.primary = other == name;
-            if instance.up {
+            // A deaf replica receives neither the new primary's log nor its term.
+            if instance.receives || instance.primary {
+                instance.term = term;
+            }
+            if instance.up && instance.receives {
                 instance.log.clone_from(&log);
                 instance.applied = instance.applied.min(log.len());
             }
--- a/tests/leadership_model.rs
+++ b/tests/leadership_model.rs
@@ -11,6 +11,7 @@
     self, LeadVerdict, ListKnowledge, MemberReport, RoleReport,
 };
 use persimmontack::model::log_position::LogPosition;
+use persimmontack::node::log_evidence::LogEvidence;
 use persimmontack::node::promotion::{self, PromotionCandidate, PromotionChoice};
 
 /// The old primary, two replicas, and a replica that joins later.
@@ -178,7 +179,7 @@
                 leaving: false,
             })
             .collect();
-        match promotion::choose_failover(&candidates, None) {
+        match promotion::choose_failover(&candidates, &LogEvidence::default()) {
             PromotionChoice::Promote(upstream) => NAMES.iter().position(|name| *name == upstream),
             _ => None,
         }
--- a/tests/node_decisions.rs
+++ b/tests/node_decisions.rs
@@ -296,7 +296,7 @@
                     assert!(!open, "a decision was begun while another one was open");
                     open = true;
                 }
-                ClaimPurpose::Ended => open = false,
+                ClaimPurpose::Ended | ClaimPurpose::Promoted(_) => open = false,
                 ClaimPurpose::Reserve => {}
             }
         }
--- a/tests/node_failover.rs
+++ b/tests/node_failover.rs
@@ -10,6 +10,7 @@
 use persimmontack::node::edge::{ClaimPurpose, ControlChange, NodeEdge};
 use persimmontack::node::primary_change::PrimaryChange;
 use persimmontack::node::request::StatementKind;
+use standins::cluster::platform_state::PlatformMode;
 
 /// Guards against a group that stays without a primary, and against a successor that lacks an
 /// acknowledged commit which only one replica has received.
@@ -197,7 +198,9 @@
 #[test]
 fn an_abandoned_decision_leaves_no_fence() {
     support::run(|node| async move {
-        node.instance("c", |instance| instance.up = false);
+        // The decision keeps its fences while the platform is busy.
+        node.edge
+            .change(|state| state.platform.mode = PlatformMode::Refuses);
         node.instance("a", |instance| instance.up = false);
         node.wait_until("b is fenced", |node| {
             node.edge.state.borrow_mut().instance("b").fenced > 0
--- a/tests/node_load.rs
+++ b/tests/node_load.rs
@@ -9,6 +9,8 @@
 use node_support as support;
 use persimmontack::model::log_position::LogPosition;
 use persimmontack::node::health::UpstreamHealth;
+use persimmontack::node::log_evidence::{LogDeficit, LogEvidence};
+use persimmontack::node::log_knowledge::LogKnowledge;
 use persimmontack::node::pool::{AcquireError, UpstreamPool};
 use persimmontack::node::promotion::{self, PromotionCandidate, PromotionChoice};
 use persimmontack::node::read_candidate::{ReadCandidate, choose_read};
@@ -200,33 +202,43 @@
     }
 }
 
+/// Returns what a VM knows that has seen commits acknowledged up to a position.
+fn acknowledged_up_to(position: LogPosition) -> LogEvidence {
+    let mut evidence = LogEvidence::default();
+    evidence.own.merge(LogKnowledge {
+        acknowledged: Some(position),
+        ..LogKnowledge::default()
+    });
+    evidence
+}
+
 /// Guards against promoting a replica that lacks acknowledged commits, and against VMs that choose
 /// different replicas from the same candidates.
 #[test]
 fn the_successor_has_the_longest_log_and_is_the_same_on_all_vms() {
-    let acknowledged = Some(LogPosition::new(1, 5));
+    let evidence = acknowledged_up_to(LogPosition::new(1, 5));
     let b = candidate("b", Some(7), true, false);
     let c = candidate("c", Some(7), true, false);
-    let one = promotion::choose_failover(&[b.clone(), c.clone()], acknowledged);
-    let other = promotion::choose_failover(&[c.clone(), b.clone()], acknowledged);
+    let one = promotion::choose_failover(&[b.clone(), c.clone()], &evidence);
+    let other = promotion::choose_failover(&[c.clone(), b.clone()], &evidence);
     assert_eq!(one, other);
     let ahead = candidate("b", Some(8), true, true);
     assert_eq!(
-        promotion::choose_failover(&[ahead, c.clone()], acknowledged),
+        promotion::choose_failover(&[ahead, c.clone()], &evidence),
         PromotionChoice::Promote("b".to_owned())
     );
     let open = candidate("b", Some(9), false, false);
     assert_eq!(
-        promotion::choose_failover(&[open, c], acknowledged),
+        promotion::choose_failover(&[open, c], &evidence),
         PromotionChoice::Await("b".to_owned())
     );
     let behind = candidate("b", Some(4), true, false);
     assert_eq!(
-        promotion::choose_failover(&[behind], acknowledged),
-        PromotionChoice::CatchUp("b".to_owned())
+        promotion::choose_failover(&[behind], &evidence),
+        PromotionChoice::CatchUp("b".to_owned(), LogDeficit::AcknowledgedCommit)
     );
     assert_eq!(
-        promotion::choose_failover(&[], acknowledged),
+        promotion::choose_failover(&[], &evidence),
         PromotionChoice::Nothing
     );
 }
@@ -250,7 +262,7 @@
     let behind = candidate("b", Some(6), false, false);
     assert_eq!(
         promotion::choose_move(&[behind, fenced], "b", head),
-        PromotionChoice::CatchUp("b".to_owned())
+        PromotionChoice::CatchUp("b".to_owned(), LogDeficit::AcknowledgedCommit)
     );
     let leaving = candidate("d", Some(9), false, true);
     let stays = candidate("e", Some(8), false, false);
--- a/tests/node_lost_commits.rs
+++ b/tests/node_lost_commits.rs
@@ -13,6 +13,7 @@
 use persimmontack::node::limits;
 use standins::cluster::cluster_state;
 use standins::cluster::cut_table::CutTarget;
+use standins::cluster::platform_state::PlatformMode;
 
 /// Time after which a VM has seen a change of the store.
 const SEEN_AFTER: Duration = Duration::from_millis(200);
@@ -145,7 +146,8 @@
         let edge = support::cluster(22);
         let node = start(&edge, 1, "dc-b", 1).await;
         let group = node.tables.group(cluster_state::GROUP);
-        node.instance("c", |instance| instance.up = false);
+        // The decision keeps its fences while the platform is busy.
+        edge.change(|state| state.platform.mode = PlatformMode::Refuses);
         node.instance("a", |instance| instance.up = false);
         node.wait_until("b is fenced", |node| is_fenced(&node.edge, "b"))
             .await;
