Refuse commits at once while the primary cannot commit

Seen by callers: while a primary answers and no replica receives what it writes, each write and each commit of a transaction hung until its timeout, and its outcome was unknown.

Cause: a VM knew after its first survey that nothing could be committed, and went on to send commits.

Change: a survey that finds a stalled primary and no successor has the VM refuse commits for 0.5 s, and each further one renews that. A single write is refused as not run, a transaction that writes is rolled back. The refusal ends as soon as a survey shows that a replica receives, a commit succeeds, or the primary changes; surveys follow each other without the delay by rank meanwhile.

Test: writes_are_refused_at_once_while_no_replica_receives in tests/node_deaf_replica.rs; it cannot pass before, since a write is then answered with an unknown outcome.

--- a/src/node/attempt.rs
+++ b/src/node/attempt.rs
@@ -32,6 +32,8 @@
     NotPrimary,
     /// The upstream acts as the primary, but another one may have taken over.
     Unproved,
+    /// The primary cannot commit, since no replica receives what it writes.
+    Stalled,
     /// The prepared statement does not exist on the connection.
     NotPrepared,
 }
--- a/src/node/group.rs
+++ b/src/node/group.rs
@@ -47,6 +47,8 @@
     commits: cell::RefCell<Vec<(CommitNumber, time::Duration)>>,
     next_commit: cell::Cell<CommitNumber>,
     last_commit: cell::Cell<time::Duration>,
+    /// Until when commits are refused, since the primary cannot commit.
+    commits_refused_until: cell::Cell<time::Duration>,
     latest_decision: cell::Cell<edge::RevisionNumber>,
     decision_seen_at: cell::Cell<Option<time::Duration>>,
     open_decision: cell::RefCell<Option<OpenDecision>>,
@@ -82,6 +84,7 @@
             commits: cell::RefCell::default(),
             next_commit: cell::Cell::default(),
             last_commit: cell::Cell::default(),
+            commits_refused_until: cell::Cell::default(),
             latest_decision: cell::Cell::default(),
             decision_seen_at: cell::Cell::default(),
             open_decision: cell::RefCell::default(),
@@ -118,6 +121,7 @@
         *self.primary.borrow_mut() = primary.map(str::to_owned);
         self.primary_term.set(None);
         self.proof.clear();
+        self.accept_commits();
         self.unproved.borrow_mut().clear();
         if primary.is_some() {
             *self.history.borrow_mut() = read_position::ConfirmedHistory::default();
@@ -216,6 +220,24 @@
     /// Records that the primary has acknowledged a commit.
     pub fn commit_succeeded(&self, now: time::Duration) {
         self.last_commit.set(now);
+        self.accept_commits();
+    }
+
+    /// Records that the primary cannot commit: commits are refused until the given time of the
+    /// monotonic clock.
+    pub fn refuse_commits(&self, until: time::Duration) {
+        self.commits_refused_until.set(until);
+    }
+
+    /// Records that the primary may be able to commit again.
+    pub fn accept_commits(&self) {
+        self.commits_refused_until.set(time::Duration::ZERO);
+    }
+
+    /// Returns whether commits are refused, since the primary cannot commit.
+    #[must_use]
+    pub fn refuses_commits(&self, now: time::Duration) -> bool {
+        now < self.commits_refused_until.get()
     }
 
     /// Returns the highest position that the primary has reported. A commit that is sent now comes
--- a/src/node/limits.rs
+++ b/src/node/limits.rs
@@ -86,6 +86,9 @@
 /// Time without a successful commit, while commits are waiting, after which a primary counts as
 /// unable to commit.
 pub const COMMIT_STALL: Duration = Duration::from_millis(600);
+/// Time for which commits are refused after a survey has shown that no replica receives what the
+/// primary writes and that none may replace it. Surveys follow one another faster than that.
+pub const COMMIT_REFUSAL: Duration = Duration::from_millis(500);
 /// Time within which one decision on a primary has to be completed.
 pub const DECISION_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Time after which a decision that was never closed counts as ended. An unanswered promotion call
--- a/src/node/monitor.rs
+++ b/src/node/monitor.rs
@@ -129,7 +129,7 @@
     if pool.is_suspect() {
         return Some(GroupProblem::Silent);
     }
-    if group.commit_stall(now) > limits::COMMIT_STALL {
+    if group.commit_stall(now) > limits::COMMIT_STALL || group.refuses_commits(now) {
         return Some(GroupProblem::Stalled);
     }
     if pool.read_entry(|entry| entry.leaving) {
@@ -145,7 +145,12 @@
     begun: time::Duration,
     now: time::Duration,
 ) -> bool {
-    let rank = tables.decision_rank(group);
+    // While commits are refused, the VM has to notice soon that they need not be any more.
+    let rank = if group.refuses_commits(now) {
+        0
+    } else {
+        tables.decision_rank(group)
+    };
     let min_duration = limits::FAILOVER_AFTER + limits::RANK_DELAY * rank;
     let is_recent = |moment: Option<time::Duration>, span: time::Duration| {
         moment.is_some_and(|moment| now.saturating_sub(moment) < span)
--- a/src/node/reads.rs
+++ b/src/node/reads.rs
@@ -306,6 +306,7 @@
         | attempt::NotRun::NoConnection
         | attempt::NotRun::Crowded
         | attempt::NotRun::Lagging
+        | attempt::NotRun::Stalled
         | attempt::NotRun::NotPrepared => {}
     }
 }
--- a/src/node/successor_wait.rs
+++ b/src/node/successor_wait.rs
@@ -1,7 +1,8 @@
 //! Waits for an upstream that may be promoted, before a decision is begun.
 //!
 //! Until then nothing is claimed and no replica is fenced: a replica that lacks commits goes on to
-//! receive, and the other VMs go on to report commits to their callers.
+//! receive, and the other VMs go on to report commits to their callers. As long as the primary
+//! answers but cannot commit, new commits are refused at once; reads go on.
 
 use std::rc;
 
@@ -38,6 +39,9 @@
         if let Some(kept) = group.primary() {
             let serves = !stalled && tables.has_primary(group);
             let replicates = stalled && survey.is_replicated(head);
+            if replicates {
+                group.accept_commits();
+            }
             if serves || replicates {
                 return Err(decision::DecisionEnd::Kept(kept));
             }
@@ -55,6 +59,9 @@
                 format!("{upstream} lacks {deficit}")
             }
         };
+        if stalled && survey.head.is_some() {
+            group.refuse_commits(node_tables::monotonic_now() + limits::COMMIT_REFUSAL);
+        }
         if Instant::now() >= deadline {
             return Err(decision::DecisionEnd::Waiting(missing));
         }
--- a/src/node/transaction.rs
+++ b/src/node/transaction.rs
@@ -92,6 +92,9 @@
         started: Instant,
     ) -> TransactionOutcome {
         let deadline = started + self.plan.route.timeout;
+        if writes && self.cannot_commit() {
+            return self.refuse_commit().await;
+        }
         if let Err(reason) = self.bind(tables, state, started).await {
             return self.abort(reason.to_string());
         }
@@ -133,6 +136,9 @@
         started: Instant,
     ) -> TransactionOutcome {
         let deadline = started + self.plan.route.timeout;
+        if self.wrote && self.cannot_commit() {
+            return self.refuse_commit().await;
+        }
         if let Err(reason) = self.bind(tables, state, started).await {
             return self.abort(reason.to_string());
         }
@@ -238,6 +244,18 @@
         metrics::counter!("persimmontack_retries_total", "reason" => "busy").increment(1);
     }
 
+    fn cannot_commit(&self) -> bool {
+        let now = node_tables::monotonic_now();
+        self.plan.group.refuses_commits(now)
+    }
+
+    /// Rolls back a transaction whose commit would hang.
+    async fn refuse_commit(&mut self) -> TransactionOutcome {
+        self.failed = true;
+        self.roll_back().await;
+        TransactionOutcome::Aborted(attempt::NotRun::Stalled.to_string())
+    }
+
     /// Closes the connection, which rolls back the transaction on the upstream.
     fn abort(&mut self, reason: String) -> TransactionOutcome {
         self.failed = true;
--- a/src/node/writes.rs
+++ b/src/node/writes.rs
@@ -76,6 +76,9 @@
     let retry_deadline = job.started + job.route.timeout.mul_f64(limits::QUEUE_TIME_SHARE);
     let mut last = attempt::NotRun::NoUpstream;
     loop {
+        if job.group.refuses_commits(node_tables::monotonic_now()) {
+            return WriteOutcome::NotRun(attempt::NotRun::Stalled);
+        }
         let primary = await_primary(tables, &job.group, job.started, &job.route).await;
         let Some(pool) = primary else {
             return WriteOutcome::NotRun(last);
--- a/tests/node_deaf_replica.rs
+++ b/tests/node_deaf_replica.rs
@@ -8,7 +8,11 @@
 use node_support as support;
 use node_support::acknowledged_writes::AcknowledgedWrites;
 use node_support::decision_steps::{EFFECT_DELAY, cut, instances, is_fenced, start};
+use persimmontack::node::answers::ErrorCode;
+use persimmontack::node::node_tables;
+use persimmontack::node::request::StatementKind;
 use standins::cluster::cluster_edge::ClusterEdge;
+use standins::cluster::cluster_state;
 use standins::cluster::cut_table::CutTarget;
 
 /// Time after which a started VM has the complete list.
@@ -176,3 +180,44 @@
         writes.check(&edge);
     });
 }
+
+/// Guards against writes that hang until their deadline although it is known that the primary cannot
+/// commit, against reads that are refused with them, and against a refusal that is not true.
+#[test]
+fn writes_are_refused_at_once_while_no_replica_receives() {
+    support::block_on(async {
+        let edge = support::cluster(22);
+        let node = start(&edge, 1, "dc-b", 1).await;
+        node.sleep(SETTLED_AFTER).await;
+        let writes = AcknowledgedWrites::default();
+        writes.keep_writing(&node);
+        promote_b_over_deaf_c(&node, &writes).await;
+        lapse(&edge, "a").await;
+        let group = node.tables.group(cluster_state::GROUP);
+        node.wait_until("commits are refused", |_node| {
+            group.refuses_commits(node_tables::monotonic_now())
+        })
+        .await;
+        let mut caller = node.caller(support::LATEST).await;
+        let limit = tokio::time::Instant::now() + LOOK_TIME;
+        while tokio::time::Instant::now() < limit {
+            let answer = caller.ask(support::write(), "WRITE item refused").await;
+            assert_eq!(support::code(&answer), ErrorCode::Busy);
+            let answer = caller.ask(support::read(), "READ item").await;
+            support::rows(&answer);
+            caller.ask(support::begin(false), "BEGIN").await;
+            let answer = caller.ask(support::write(), "WRITE item refused").await;
+            assert_eq!(support::code(&answer), ErrorCode::Aborted);
+            caller.ask(StatementKind::Rollback, "ROLLBACK").await;
+            node.sleep(TICK * 10).await;
+        }
+        assert_eq!(node.count_statements("b", "WRITE item refused"), 0);
+        node.instance("c", |instance| instance.receives = true);
+        node.wait_until("commits are accepted", |_node| {
+            !group.refuses_commits(node_tables::monotonic_now())
+        })
+        .await;
+        support::rows(&writes.write(&mut caller, "accepted").await);
+        writes.check(&edge);
+    });
+}
