Split the candidates of a decision from it, and survey a stalled group once

The candidate of a promotion has a file of its own, with what the survey and the decision both need of it. The check whether the replicas of a stalled primary receive what it writes stood beside the survey and asked the same; the survey does it now, and needs no execution slot for it. A wait for a successor is logged as decision_postponed and is not counted as a decision.

--- a/src/node/decision.rs
+++ b/src/node/decision.rs
@@ -11,8 +11,9 @@
 
 use crate::model::{ids, log_position, term_start};
 use crate::node::{
-    command, edge, group, leadership, limits, log_evidence, log_knowledge, log_survey, monitor,
-    node_log, node_tables, notices, pool, primary_change, probe, promotion,
+    command, edge, group, leadership, limits, log_evidence, log_format, log_knowledge, log_survey,
+    monitor, node_log, node_tables, notices, pool, primary_change, probe, promotion,
+    promotion_candidate,
 };
 
 /// How a decision ended.
@@ -106,8 +107,11 @@
                 ("trouble", &problem),
                 ("primary", &primary.as_deref().unwrap_or("-")),
                 ("ends", &self.change.ends),
-                ("acknowledged", &format_position(log.acknowledged)),
-                ("term_start", &format_start(log.term_start)),
+                (
+                    "acknowledged",
+                    &log_format::format_position(log.acknowledged),
+                ),
+                ("term_start", &log_format::format_start(log.term_start)),
                 ("listed", &listed.join(",")),
                 ("list_age_ms", &age.as_millis()),
             ],
@@ -175,8 +179,9 @@
             self.log_step(&choice, &candidates, head);
             match choice {
                 promotion::PromotionChoice::Promote(upstream) => {
-                    let is_chosen =
-                        |candidate: &&promotion::PromotionCandidate| candidate.upstream == upstream;
+                    let is_chosen = |candidate: &&promotion_candidate::PromotionCandidate| {
+                        candidate.upstream == upstream
+                    };
                     let chosen = candidates.iter().find(is_chosen);
                     self.successor_log = chosen.and_then(|candidate| candidate.received);
                     return Ok(upstream);
@@ -300,7 +305,7 @@
     fn log_step(
         &self,
         choice: &promotion::PromotionChoice,
-        candidates: &[promotion::PromotionCandidate],
+        candidates: &[promotion_candidate::PromotionCandidate],
         primary_position: Option<log_position::LogPosition>,
     ) {
         let evidence = self.evidence();
@@ -310,12 +315,18 @@
                 ("group", &self.group.group),
                 ("decision", &self.number),
                 ("choice", &format!("{choice:?}")),
-                ("candidates", &log_survey::LogSurvey::describe(candidates)),
-                ("head", &format_position(primary_position)),
-                ("acknowledged", &format_position(evidence.own.acknowledged)),
-                ("told", &format_position(evidence.hosts.told)),
+                ("candidates", &log_format::format_candidates(candidates)),
+                ("head", &log_format::format_position(primary_position)),
+                (
+                    "acknowledged",
+                    &log_format::format_position(evidence.own.acknowledged),
+                ),
+                ("told", &log_format::format_position(evidence.hosts.told)),
                 ("term", &evidence.hosts.term),
-                ("term_start", &format_start(evidence.hosts.term_start)),
+                (
+                    "term_start",
+                    &log_format::format_start(evidence.hosts.term_start),
+                ),
                 ("all_hosts", &evidence.complete),
             ],
         );
@@ -344,7 +355,7 @@
         &mut self,
         old: Option<&str>,
         target: Option<&str>,
-    ) -> Vec<promotion::PromotionCandidate> {
+    ) -> Vec<promotion_candidate::PromotionCandidate> {
         let pools = self.tables.pools_of(&self.group.group);
         let term = self.term;
         let queries = pools
@@ -358,7 +369,7 @@
             });
         let mut candidates = Vec::new();
         for (pool, status) in future::join_all(queries).await {
-            let mut candidate = new_candidate(pool);
+            let mut candidate = promotion_candidate::PromotionCandidate::new(pool);
             if let Some(status) = status {
                 candidate.fenced = !status.primary && status.fenced > 0;
                 candidate.received = Some(status.received);
@@ -368,7 +379,7 @@
                     self.fenced.push(rc::Rc::clone(pool));
                 }
             }
-            if is_compared(&candidate, pool, old) {
+            if candidate.is_compared(pool, old) {
                 candidates.push(candidate);
             }
         }
@@ -486,38 +497,3 @@
         }
     }
 }
-
-/// Returns the candidate for an upstream whose position is not known yet.
-pub fn new_candidate<E: edge::NodeEdge>(
-    pool: &pool::UpstreamPool<E>,
-) -> promotion::PromotionCandidate {
-    promotion::PromotionCandidate {
-        upstream: pool.upstream().clone(),
-        received: None,
-        fenced: false,
-        leaving: pool.read_entry(|entry| entry.leaving),
-    }
-}
-
-/// Returns whether a decision has to compare an upstream. A replica that leaves and is fenced under
-/// this primary receives nothing from it, so it has acknowledged none of its commits.
-pub fn is_compared<E: edge::NodeEdge>(
-    candidate: &promotion::PromotionCandidate,
-    pool: &pool::UpstreamPool<E>,
-    old: Option<&str>,
-) -> bool {
-    let cut_off = old.is_some_and(|old| pool.is_fenced_under(old));
-    candidate.fenced || !(candidate.leaving && cut_off)
-}
-
-/// Formats the start of a term for the log, or returns `-` if it is not known.
-#[must_use]
-pub fn format_start(start: Option<term_start::TermStart>) -> String {
-    start.map_or_else(|| "-".to_owned(), |start| start.to_string())
-}
-
-/// Formats a position for the log, or returns `-` if there is none.
-#[must_use]
-pub fn format_position(position: Option<log_position::LogPosition>) -> String {
-    position.map_or_else(|| "-".to_owned(), |position| position.to_string())
-}
--- a/src/node/failover.rs
+++ b/src/node/failover.rs
@@ -11,7 +11,7 @@
 use crate::model::ids;
 use crate::node::{
     claims, command, decision, edge, group, limits, monitor, node_log, node_tables, notices, pool,
-    primary_change, probe, promotion, successor_wait,
+    primary_change, probe, promotion, promotion_candidate, successor_wait,
 };
 
 /// Claims a decision number, runs the decision, and cleans up after it. `previous` is the latest
@@ -25,11 +25,6 @@
 ) -> decision::DecisionEnd {
     // A promotion of an earlier decision that was never closed may still take effect.
     let pending = group.open_change(node_tables::monotonic_now()).is_some();
-    if problem == monitor::GroupProblem::Stalled
-        && let Some(primary) = replicating_primary(tables, group).await
-    {
-        return decision::DecisionEnd::Kept(primary);
-    }
     if let Err(end) = await_successor(tables, group, problem, previous).await {
         return end;
     }
@@ -244,42 +239,10 @@
         .filter(|pool| *pool.upstream() != old && !pool.is_suspect())
         .map(|pool| async {
             let status = probe::query_status(pool, &command::UpstreamCommand::Status).await;
-            let mut candidate = decision::new_candidate(pool);
+            let mut candidate = promotion_candidate::PromotionCandidate::new(pool);
             candidate.received = status.map(|status| status.received);
             candidate
         });
     let candidates = future::join_all(queries).await;
     promotion::choose_target(&candidates).map(|best| best.upstream.clone())
 }
-
-/// Returns the primary if its replicas receive what it writes although its commits appear to hang.
-/// Only answers were lost then, and a failover would not help.
-async fn replicating_primary<E: edge::NodeEdge>(
-    tables: &rc::Rc<node_tables::NodeTables<E>>,
-    group: &rc::Rc<group::GroupState>,
-) -> Option<ids::UpstreamId> {
-    let primary = tables.primary_pool(group)?;
-    let primary_status = probe::query_status(&primary, &command::UpstreamCommand::Status).await?;
-    tokio::time::sleep(limits::STALL_CHECK).await;
-    let pools = tables.pools_of(&group.group);
-    let queries = pools
-        .iter()
-        .filter(|pool| pool.upstream() != primary.upstream() && !pool.is_suspect())
-        .map(|pool| probe::query_status(pool, &command::UpstreamCommand::Status));
-    let statuses = future::join_all(queries).await;
-    let received = statuses
-        .into_iter()
-        .flatten()
-        .map(|status| status.received)
-        .max();
-    node_log::info(
-        "stall_checked",
-        &[
-            ("group", &group.group),
-            ("primary", primary.upstream()),
-            ("head", &primary_status.received),
-            ("received", &decision::format_position(received)),
-        ],
-    );
-    (received >= Some(primary_status.received)).then(|| primary.upstream().clone())
-}
--- a/src/node/limits.rs
+++ b/src/node/limits.rs
@@ -23,7 +23,7 @@
 /// Gap between two ticks of the monitor after which its earlier observations are discarded, since
 /// the process itself was suspended or starved.
 pub const STALL_GAP: Duration = Duration::from_millis(200);
-/// Pause between reading the position of a primary whose commits hang and those of its replicas.
+/// Pause between the first two surveys of a group whose commits hang.
 pub const STALL_CHECK: Duration = Duration::from_millis(100);
 /// Time for which a new caller waits for the first configuration.
 pub const FIRST_CONFIG_TIMEOUT: Duration = Duration::from_millis(1_500);
--- a/src/node/log_survey.rs
+++ b/src/node/log_survey.rs
@@ -2,15 +2,15 @@
 
 use futures::future;
 
-use crate::model::{ids, log_position};
-use crate::node::{command, decision, edge, group, node_tables, probe, promotion};
+use crate::model::log_position;
+use crate::node::{command, edge, group, node_tables, probe, promotion_candidate};
 
 /// The logs of a group's upstreams. A survey changes nothing, so replicas go on to receive and a
 /// decision that cannot promote does no harm.
 #[derive(Debug)]
 pub struct LogSurvey {
     /// The upstreams other than the known primary, as if those that are replicas were fenced.
-    pub candidates: Vec<promotion::PromotionCandidate>,
+    pub candidates: Vec<promotion_candidate::PromotionCandidate>,
     /// End of the primary's log, if the primary answers and leads.
     pub head: Option<log_position::LogPosition>,
 }
@@ -44,10 +44,10 @@
                     .map(|status| status.received);
                 continue;
             }
-            let mut candidate = decision::new_candidate(pool);
+            let mut candidate = promotion_candidate::PromotionCandidate::new(pool);
             candidate.fenced = status.is_some_and(|status| !status.primary);
             candidate.received = status.map(|status| status.received);
-            if decision::is_compared(&candidate, pool, primary.as_deref()) {
+            if candidate.is_compared(pool, primary.as_deref()) {
                 survey.candidates.push(candidate);
             }
         }
@@ -58,23 +58,9 @@
     /// as of an `earlier` one.
     #[must_use]
     pub fn is_replicated(&self, earlier: Option<log_position::LogPosition>) -> bool {
-        let received = |candidate: &promotion::PromotionCandidate| candidate.received;
+        let received = |candidate: &promotion_candidate::PromotionCandidate| candidate.received;
         let received = self.candidates.iter().filter_map(received).max();
         let has_received = |head: Option<_>| head.is_some() && received >= head;
         self.head.is_some() && (has_received(self.head) || has_received(earlier))
     }
-
-    /// Returns the candidates for a log line.
-    #[must_use]
-    pub fn describe(candidates: &[promotion::PromotionCandidate]) -> String {
-        let described: Vec<_> = candidates.iter().map(describe_candidate).collect();
-        described.join(",")
-    }
-}
-
-fn describe_candidate(candidate: &promotion::PromotionCandidate) -> String {
-    let upstream: &ids::UpstreamId = &candidate.upstream;
-    let received = decision::format_position(candidate.received);
-    let fenced = if candidate.fenced { "fenced" } else { "open" };
-    format!("{upstream}:{received}:{fenced}")
 }
--- a/src/node/monitor.rs
+++ b/src/node/monitor.rs
@@ -173,6 +173,19 @@
     let group = rc::Rc::clone(group);
     tokio::task::spawn_local(async move {
         let end = failover::decide(&tables, &group, problem, previous).await;
+        if let decision::DecisionEnd::Waiting(missing) = &end {
+            // Without a decision there is nothing to wait for before the next attempt.
+            node_log::info(
+                "decision_postponed",
+                &[
+                    ("group", &group.group),
+                    ("trouble", &problem),
+                    ("reason", missing),
+                ],
+            );
+            group.set_deciding(false);
+            return;
+        }
         node_log::warn(
             "decision_ended",
             &[
@@ -184,10 +197,7 @@
         );
         metrics::counter!("persimmontack_decisions_total", "trouble" => problem.to_string())
             .increment(1);
-        // Without a decision there is nothing to wait for before the next attempt.
-        if !matches!(end, decision::DecisionEnd::Waiting(_)) {
-            group.record_decision_ended(node_tables::monotonic_now());
-        }
+        group.record_decision_ended(node_tables::monotonic_now());
         group.set_deciding(false);
         tables.changed.notify_waiters();
     });
--- a/src/node/promotion.rs
+++ b/src/node/promotion.rs
@@ -6,20 +6,7 @@
 //! have been that replica: see [`log_evidence`] and `docs/node.md`, "What a successor has to hold".
 
 use crate::model::{ids, log_position};
-use crate::node::log_evidence;
-
-/// State of one upstream of the group other than the primary that is being replaced.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct PromotionCandidate {
-    /// The upstream.
-    pub upstream: ids::UpstreamId,
-    /// Last position that it has received, once it has been fenced or queried.
-    pub received: Option<log_position::LogPosition>,
-    /// Whether it is fenced, and so acknowledges no further commits.
-    pub fenced: bool,
-    /// Whether it is leaving.
-    pub leaving: bool,
-}
+use crate::node::{log_evidence, promotion_candidate};
 
 /// Next step of a decision.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -38,7 +25,7 @@
 /// chooses the same upstream from the same replicas.
 #[must_use]
 pub fn choose_failover(
-    candidates: &[PromotionCandidate],
+    candidates: &[promotion_candidate::PromotionCandidate],
     evidence: &log_evidence::LogEvidence,
 ) -> PromotionChoice {
     let missing = candidates.iter().find(|candidate| !candidate.fenced);
@@ -61,7 +48,9 @@
 /// Chooses the target of a planned move while the primary still serves: the upstream with the
 /// highest received position among those that are not leaving.
 #[must_use]
-pub fn choose_target(candidates: &[PromotionCandidate]) -> Option<&PromotionCandidate> {
+pub fn choose_target(
+    candidates: &[promotion_candidate::PromotionCandidate],
+) -> Option<&promotion_candidate::PromotionCandidate> {
     candidates
         .iter()
         .filter(|candidate| !candidate.leaving && candidate.received.is_some())
@@ -73,7 +62,7 @@
 /// that the primary had applied after that.
 #[must_use]
 pub fn choose_move(
-    candidates: &[PromotionCandidate],
+    candidates: &[promotion_candidate::PromotionCandidate],
     target: &str,
     primary_position: log_position::LogPosition,
 ) -> PromotionChoice {
--- a/src/node/successor_wait.rs
+++ b/src/node/successor_wait.rs
@@ -10,8 +10,8 @@
 
 use crate::model::log_position;
 use crate::node::{
-    decision, edge, group, limits, log_evidence, log_survey, monitor, node_log, node_tables,
-    promotion,
+    decision, edge, group, limits, log_evidence, log_format, log_survey, monitor, node_log,
+    node_tables, promotion, promotion_candidate,
 };
 
 /// Waits until an upstream may be promoted, as far as this VM knows. `previous` is the latest
@@ -31,6 +31,12 @@
     let stalled = problem == monitor::GroupProblem::Stalled;
     let mut logged = None;
     let mut head = None;
+    if stalled {
+        // If the replicas receive what the primary writes, only answers were lost, and a failover
+        // would not help.
+        head = log_survey::LogSurvey::take(tables, group).await.head;
+        tokio::time::sleep(limits::STALL_CHECK).await;
+    }
     loop {
         let survey = log_survey::LogSurvey::take(tables, group).await;
         if group.latest_decision() != previous {
@@ -85,7 +91,7 @@
     group: &group::GroupState,
     problem: monitor::GroupProblem,
     choice: &promotion::PromotionChoice,
-    candidates: &[promotion::PromotionCandidate],
+    candidates: &[promotion_candidate::PromotionCandidate],
     head: Option<log_position::LogPosition>,
 ) {
     let log = group.log_knowledge();
@@ -95,12 +101,15 @@
             ("group", &group.group),
             ("trouble", &problem),
             ("choice", &format!("{choice:?}")),
-            ("candidates", &log_survey::LogSurvey::describe(candidates)),
-            ("head", &decision::format_position(head)),
-            ("acknowledged", &decision::format_position(log.acknowledged)),
-            ("told", &decision::format_position(log.told)),
+            ("candidates", &log_format::format_candidates(candidates)),
+            ("head", &log_format::format_position(head)),
+            (
+                "acknowledged",
+                &log_format::format_position(log.acknowledged),
+            ),
+            ("told", &log_format::format_position(log.told)),
             ("term", &log.term),
-            ("term_start", &decision::format_start(log.term_start)),
+            ("term_start", &log_format::format_start(log.term_start)),
         ],
     );
 }
--- a/tests/leadership_model.rs
+++ b/tests/leadership_model.rs
@@ -12,7 +12,8 @@
 };
 use persimmontack::model::log_position::LogPosition;
 use persimmontack::node::log_evidence::LogEvidence;
-use persimmontack::node::promotion::{self, PromotionCandidate, PromotionChoice};
+use persimmontack::node::promotion::{self, PromotionChoice};
+use persimmontack::node::promotion_candidate::PromotionCandidate;
 
 /// The old primary, two replicas, and a replica that joins later.
 const NAMES: [&str; 4] = ["a", "b", "c", "d"];
--- a/tests/node_deaf_replica.rs
+++ b/tests/node_deaf_replica.rs
@@ -7,7 +7,10 @@
 
 use node_support as support;
 use node_support::acknowledged_writes::AcknowledgedWrites;
-use node_support::decision_steps::{EFFECT_DELAY, cut, instances, is_fenced, start};
+use node_support::decision_steps::{
+    EFFECT_DELAY, claim, cut, fence, instances, is_fenced, promote, start,
+};
+use persimmontack::model::term_start::TermStart;
 use persimmontack::node::answers::ErrorCode;
 use persimmontack::node::node_tables;
 use persimmontack::node::request::StatementKind;
@@ -221,3 +224,50 @@
         writes.check(&edge);
     });
 }
+
+/// Guards against a start of the term that stays unknown to VMs that start later, because the VM
+/// that decided died before it closed its decision.
+#[test]
+fn a_decision_that_is_taken_over_ends_with_the_start_of_the_term() {
+    support::block_on(async {
+        let edge = support::cluster(22);
+        let node = start(&edge, 1, "dc-b", 1).await;
+        node.sleep(SETTLED_AFTER).await;
+        let writes = AcknowledgedWrites::default();
+        writes.keep_writing(&node);
+        node.sleep(Duration::from_secs(1)).await;
+        let decision = claim(&edge, "vm-9", None).await;
+        fence(&edge, &["b", "c"]);
+        let position = edge.state.borrow().instances["b"].received_position();
+        promote(&edge, "vm-9", "b", decision).await;
+        node.wait_until("the decision is closed", |node| {
+            let state = node.edge.state.borrow();
+            state.term_start == Some(TermStart { term: 2, position })
+        })
+        .await;
+        writes.check(&edge);
+    });
+}
+
+/// Guards against a VM that fences replicas although it cannot promote, while only its own
+/// connection to the primary is cut: the other VMs could commit nothing.
+#[test]
+fn a_vm_that_alone_misses_the_primary_fences_no_replica_in_vain() {
+    support::block_on(async {
+        let edge = support::cluster(22);
+        let first = start(&edge, 1, "dc-a", 1).await;
+        let second = start(&edge, 2, "dc-b", 2).await;
+        first.sleep(SETTLED_AFTER).await;
+        let writes = AcknowledgedWrites::default();
+        writes.keep_writing(&first);
+        cut(&edge, "vm-2", &instances(&["a", "b"]));
+        let limit = tokio::time::Instant::now() + LOOK_TIME;
+        while tokio::time::Instant::now() < limit {
+            assert!(!is_fenced(&edge, "c"), "c is fenced");
+            second.sleep(TICK).await;
+        }
+        assert!(second.promotions().is_empty());
+        assert!(writes.count() > 10, "the primary serves");
+        writes.check(&edge);
+    });
+}
