--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -56,8 +56,8 @@
         self.leases = {}
         self.next_lease = 70000
         self.changed = asyncio.Event()
-        # Called with (door, method, path, body). Returns None, ("status", code), "silent", ("late", s)
-        # or "lost".
+        # Called with (door, method, path, body). Returns None, ("status", code), "silent", ("late", s),
+        # ("slow", s) or "lost".
         self.fault = lambda door, method, path, body: None
         self.address = None
         self.tasks = set()
@@ -143,6 +143,8 @@
                     await asyncio.sleep(3600)
                 await asyncio.sleep(self.answer_s)
                 status, answer = await self.answer(method, path, body)
+                if isinstance(fault, tuple) and fault[0] == "slow":
+                    await asyncio.sleep(fault[1])
                 if fault == "lost":
                     self.record.add("store", f"the answer {status} to {method} {path.split('?')[0]} is lost")
                     await asyncio.sleep(3600)
@@ -372,6 +374,8 @@
         self.born = int(time.time() * 1000)
         self.alive = True
         self.deaf = False
+        # Callers that this instance is partitioned from.
+        self.cut = set()
         self.connections = set()
         self.work_s = 0.003
         service.instances[name] = self
@@ -493,7 +497,7 @@
     async def line(self):
         data = await self.reader.readuntil(b"\r\n")
         born = self.instance.born
-        while not self.instance.alive:
+        while not self.instance.alive or self.tenant in self.instance.cut:
             await asyncio.sleep(0.02)
         if born != self.instance.born:
             raise ConnectionError("restarted")
@@ -521,6 +525,8 @@
             await self.writer.drain()
             return
         self.tenant = words[2]
+        while self.tenant in one.cut:
+            await asyncio.sleep(0.02)
         await asyncio.sleep(0.005)
         self.send(self.ready())
         while True:
@@ -530,7 +536,7 @@
             _word, number, text = line.split(" ", 2)
             born = one.born
             answer = await self.run(number, text)
-            while not one.alive:
+            while not one.alive or self.tenant in one.cut:
                 await asyncio.sleep(0.02)
             if answer is None or born != one.born:
                 self.writer.transport.abort()
