Compare the upstreams by a list from after the replies of the hosts

Cause: a decision brought its list up to the revision of its claim, and then told the other hosts. A replica that joined after the claim could be the only one that had received a commit, and a host that was not told yet reported that commit. Nothing brought the list up to the moment of the replies; the watch had the entry by then, or not. The position that the host had told for certain did not show it, since it is counted from below.

Of the hypotheses, a lifted fence is ruled out (the new replica was never fenced), and so is the host's evidence (told= ends one commit before the lost one).

Change: the list is read from the store by a call after the replies; hosts that only this list has are told too. Without a list, an upstream is promoted only if all hosts have replied and its log reaches all that they have seen acknowledged, or once every VM without the store has noticed the outage, and never if a host lists an upstream that this VM does not know. Both waits have a bound. Planned moves use the same.

Tests: a_replica_that_joins_during_a_claim_is_compared_as_well, a_vm_that_joins_during_a_claim_is_told_of_the_decision and without_the_store_a_replica_in_the_list_of_another_vm_is_not_left_out failed before; two more guard the bounds.

--- a/src/node/decision.rs
+++ b/src/node/decision.rs
@@ -11,9 +11,8 @@
 
 use crate::model::{ids, log_position, term_start};
 use crate::node::{
-    command, edge, group, leadership, limits, log_evidence, log_format, log_knowledge, log_survey,
-    monitor, node_log, node_tables, notices, pool, primary_change, probe, promotion,
-    promotion_candidate,
+    command, edge, group, informed_hosts, leadership, limits, log_evidence, log_format, log_survey,
+    monitor, node_log, node_tables, pool, primary_change, probe, promotion, promotion_candidate,
 };
 
 /// How a decision ended.
@@ -55,10 +54,8 @@
     term: ids::TermNumber,
     /// Upstreams that this decision has fenced.
     pub fenced: Vec<rc::Rc<pool::UpstreamPool<E>>>,
-    /// Task that notifies the other hosts of this decision.
-    notified: Option<tokio::task::JoinHandle<notices::NoticeReplies>>,
-    /// Replies of the other hosts.
-    replies: notices::NoticeReplies,
+    /// The other hosts, as far as they have been told of this decision.
+    hosts: informed_hosts::InformedHosts<'a, E>,
     /// Log that the next primary begins its term with, if it is known before the promotion.
     successor_log: Option<log_position::LogPosition>,
 }
@@ -77,7 +74,6 @@
             number,
             change: change.clone(),
         };
-        let notified = notices::notify_hosts(rc::Rc::clone(tables), notice);
         Self {
             tables,
             group,
@@ -86,8 +82,7 @@
             term: change.ends + 1,
             change,
             fenced: Vec::new(),
-            notified: Some(tokio::task::spawn_local(notified)),
-            replies: notices::NoticeReplies::default(),
+            hosts: informed_hosts::InformedHosts::begin(tables, notice),
             successor_log: None,
         }
     }
@@ -120,10 +115,6 @@
 
     /// Runs the decision to its end.
     pub async fn run(&mut self, problem: monitor::GroupProblem) -> DecisionEnd {
-        // Upstreams that joined before the number was claimed have to be compared as well.
-        if self.tables.store_available.get() && !self.tables.await_revision(self.number).await {
-            return DecisionEnd::GaveUp("the list is not up to date".to_owned());
-        }
         let choice = match (problem, &self.change.successor) {
             (monitor::GroupProblem::Leaving, Some(target)) => {
                 let target = target.clone();
@@ -154,11 +145,12 @@
             return Err(DecisionEnd::Kept(kept));
         }
         // Upstreams that join before all hosts know of the decision are compared as well.
-        self.hosts_notified().await?;
+        self.await_current_list().await?;
         let stalled = problem == monitor::GroupProblem::Stalled;
         let mut head = None;
         loop {
             let old = self.group.primary();
+            let has_current_list = self.hosts.has_current_list();
             let survey = log_survey::LogSurvey::take(self.tables, self.group).await;
             if self.group.term() > self.change.ends {
                 return Err(DecisionEnd::Outdated);
@@ -173,6 +165,14 @@
             let mut candidates = survey.candidates;
             let mut choice = promotion::choose_failover(&candidates, &self.evidence());
             if matches!(choice, promotion::PromotionChoice::Promote(_)) {
+                let received = candidates.iter().filter_map(|one| one.received).max();
+                if !has_current_list && !self.hosts.suffices_without_list(self.group, received) {
+                    self.log_step(&choice, &candidates, head);
+                    self.tables.refresh.notify_one();
+                    self.pause(|| "the list is not up to date".to_owned())
+                        .await?;
+                    continue;
+                }
                 candidates = self.fence_all_but(old.as_deref(), None).await;
                 choice = promotion::choose_failover(&candidates, &self.evidence());
             }
@@ -211,39 +211,26 @@
 
     /// Returns what is known about the commits that a successor must hold.
     fn evidence(&self) -> log_evidence::LogEvidence {
-        let own = self.group.log_knowledge();
-        let mut hosts = own;
-        hosts.merge(self.replies.log);
-        log_evidence::LogEvidence {
-            own,
-            hosts,
-            complete: self.replies.complete,
-        }
+        self.hosts.evidence(self.group)
     }
 
-    /// Waits until the other hosts have been notified of the decision, and records what they know.
-    /// Returns `true` if that was already done; otherwise the upstreams are compared again, since
-    /// some may have joined meanwhile.
-    async fn hosts_notified(&mut self) -> Result<bool, DecisionEnd> {
-        let Some(notified) = self.notified.take() else {
-            return Ok(true);
-        };
-        match notified.await {
-            Ok(replies) if replies.latest > self.number => Err(DecisionEnd::Overtaken),
-            Ok(replies) => {
-                self.group.learn(log_knowledge::LogKnowledge {
-                    acknowledged: None,
-                    ..replies.log
-                });
-                self.replies = replies;
-                Ok(false)
-            }
-            Err(error) => Err(DecisionEnd::GaveUp(error.to_string())),
+    /// Waits until the other hosts have been told of the decision and, for a limited time, until the
+    /// list is from after their replies.
+    async fn await_current_list(&mut self) -> Result<(), DecisionEnd> {
+        let deadline = self.deadline;
+        let listed = self.hosts.await_current_list(self.group, deadline).await;
+        if self.hosts.latest_decision() > self.number {
+            return Err(DecisionEnd::Overtaken);
         }
+        listed.map_err(DecisionEnd::GaveUp)
     }
 
+    /// Returns whether the time of the decision is up. If the store was lost, the decision may have to
+    /// wait until every VM has noticed that.
     fn is_past_deadline(&self) -> bool {
-        self.tables.edge.boot_time() >= self.deadline
+        let noticed_at = self.hosts.outage_noticed_at().unwrap_or_default();
+        let deadline = self.deadline.max(noticed_at + limits::PROMOTE_TIMEOUT);
+        self.tables.edge.boot_time() >= deadline
     }
 
     /// Pauses before the next attempt. Fails if the decision was overtaken or its deadline has
@@ -268,6 +255,9 @@
         let Some(old) = self.group.primary() else {
             return Err(DecisionEnd::GaveUp("the primary is gone".to_owned()));
         };
+        // Commits of which a caller was told before all hosts knew of the decision are at or below the
+        // position that the primary reports after that.
+        self.await_current_list().await?;
         loop {
             let mut candidates = self.fence_all_but(Some(&old), Some(&target)).await;
             let Some(primary_position) = self.query_lead(&old).await.and_then(|lead| lead.position)
@@ -288,11 +278,7 @@
             let choice = promotion::choose_move(&candidates, &target, primary_position);
             self.log_step(&choice, &candidates, Some(primary_position));
             match choice {
-                promotion::PromotionChoice::Promote(upstream) => {
-                    if self.hosts_notified().await? {
-                        return Ok(upstream);
-                    }
-                }
+                promotion::PromotionChoice::Promote(upstream) => return Ok(upstream),
                 promotion::PromotionChoice::Nothing
                 | promotion::PromotionChoice::Await(_)
                 | promotion::PromotionChoice::CatchUp(..) => {
--- a/src/node/failover.rs
+++ b/src/node/failover.rs
@@ -170,7 +170,8 @@
                 .open_change(node_tables::monotonic_now())
                 .unwrap_or_default(),
         };
-        let replies = notices::notify_hosts(rc::Rc::clone(&tables), notice).await;
+        let hosts = tables.ordered_hosts(&group.group);
+        let replies = notices::notify_hosts(rc::Rc::clone(&tables), notice, hosts).await;
         let is_latest = replies.complete && replies.latest <= number;
         if is_latest {
             lift_fences(&group, number, &fenced).await;
--- a/src/node/isolation.rs
+++ b/src/node/isolation.rs
@@ -77,6 +77,13 @@
         self.restored_until.set(now + limits::DECISION_TIMEOUT);
     }
 
+    /// Returns whether the store has answered a call that began at or after `moment`, a time of
+    /// [`edge::NodeEdge::boot_time`].
+    #[must_use]
+    pub fn has_answer_since(&self, moment: time::Duration) -> bool {
+        self.last_answered_call.get() >= moment
+    }
+
     /// Returns how long ago the latest call that the store answered began. `now` is a time of
     /// [`edge::NodeEdge::boot_time`].
     #[must_use]
--- a/src/node/limits.rs
+++ b/src/node/limits.rs
@@ -118,6 +118,8 @@
 pub const LIST_TIMEOUT: Duration = Duration::from_millis(800);
 /// Time between two answers of the store after which it may have been unavailable.
 pub const STORE_OUTAGE_GAP: Duration = Duration::from_millis(1_000);
+/// Interval at which a decision asks the store again for a current list.
+pub const LIST_CHECK_PAUSE: Duration = Duration::from_millis(15);
 /// Longest wait of one watch while the list may be incomplete.
 pub const FIRST_WATCH_WAIT: Duration = Duration::from_millis(400);
 /// Time without an answer from another data centre or the store after which a VM may have missed a
--- a/src/node/log_evidence.rs
+++ b/src/node/log_evidence.rs
@@ -29,6 +29,14 @@
 }
 
 impl LogEvidence {
+    /// Returns whether a log that ends at `received` holds every commit of which the hosts have told a
+    /// caller, whichever upstream has confirmed it. They all have to have replied, and one that was
+    /// restarted has forgotten what it told before.
+    #[must_use]
+    pub fn covers_told(&self, received: Option<log_position::LogPosition>) -> bool {
+        self.complete && received >= self.hosts.acknowledged
+    }
+
     /// Returns why a log that ends at `received` may lack acknowledged commits, or `None` if it
     /// holds them all. The log has to be the longest one of all replicas that could have confirmed
     /// commits of the latest term.
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -26,6 +26,7 @@
 pub mod group;
 pub mod health;
 pub mod hosts;
+pub mod informed_hosts;
 pub mod isolation;
 pub mod lead_proof;
 pub mod leadership;
--- a/src/node/node_tables.rs
+++ b/src/node/node_tables.rs
@@ -71,6 +71,8 @@
     pub config_changed: Notify,
     /// Whether the last call to the store succeeded.
     pub store_available: cell::Cell<bool>,
+    /// When the store was last found to be unavailable, as a time of [`edge::NodeEdge::boot_time`].
+    pub store_lost_at: cell::Cell<Option<time::Duration>>,
     /// When the store last answered any call of this VM, by the monotonic clock.
     pub store_contact: cell::Cell<Option<time::Duration>>,
     /// Time from the acknowledgement of a configuration until it has to be in force.
@@ -117,6 +119,7 @@
             changed: Notify::new(),
             config_changed: Notify::new(),
             store_available: cell::Cell::default(),
+            store_lost_at: cell::Cell::default(),
             store_contact: cell::Cell::default(),
             config_apply_limit: cell::Cell::new(limits::CONFIG_APPLY_LIMIT),
             refresh: Notify::new(),
@@ -338,13 +341,15 @@
             .collect()
     }
 
-    /// Waits until the tables reflect this revision of the store. Returns `false` on timeout.
-    pub async fn await_revision(&self, revision: edge::RevisionNumber) -> bool {
+    /// Waits until the tables reflect a call to the store that began at or after `moment`, a time of
+    /// [`edge::NodeEdge::boot_time`]. Returns `false` on timeout.
+    pub async fn await_list_since(&self, moment: time::Duration) -> bool {
         let shown = async {
-            while self.revision.get() < revision {
+            while !self.isolation.has_answer_since(moment) {
+                self.refresh.notify_one();
                 tokio::select! {
                     () = self.changed.notified() => {}
-                    () = tokio::time::sleep(limits::ROUTE_PAUSE) => self.refresh.notify_one(),
+                    () = tokio::time::sleep(limits::LIST_CHECK_PAUSE) => {}
                 }
             }
         };
@@ -353,6 +358,28 @@
             .is_ok()
     }
 
+    /// Returns since when the store has not answered this VM, as a time of
+    /// [`edge::NodeEdge::boot_time`], or `None` if it answers.
+    #[must_use]
+    pub fn store_outage_start(&self) -> Option<time::Duration> {
+        let lost_at = self.store_lost_at.get();
+        lost_at.filter(|_| !self.store_available.get())
+    }
+
+    /// Returns the time from the loss of the store by which every VM that it does not answer has
+    /// noticed: a renewal of its entry fails, and after it a question.
+    #[must_use]
+    pub fn outage_notice_time(&self) -> time::Duration {
+        let question = self.config_apply_limit.get() / limits::QUESTION_PARTS;
+        limits::MEMBER_RENEWAL + limits::STORE_CALL_TIMEOUT + question
+    }
+
+    /// Returns whether an upstream is listed, or was removed a while ago.
+    #[must_use]
+    pub fn knows_upstream(&self, upstream: &str) -> bool {
+        self.pools.borrow().contains_key(upstream) || self.removed.borrow().contains(upstream)
+    }
+
     /// Records that the store was restored from a copy, and has lost what was written last. Decisions
     /// among it are known only to the VMs that made them or were told.
     pub fn record_restore(&self) {
--- a/src/node/notices.rs
+++ b/src/node/notices.rs
@@ -4,41 +4,68 @@
 //! they report as acknowledged in the meantime could be missing on the successor. See
 //! `docs/node.md`, "Failover".
 
+use std::collections;
 use std::rc;
 
 use futures::future;
 use serde::{Deserialize, Serialize};
 
 use crate::link::{server, stream_kind};
+use crate::model::ids;
 use crate::node::{edge, limits, log_knowledge, node_log, node_tables, primary_change};
 
 /// Reply of a host to a notice. The host tells no caller of a commit that the decision may drop
 /// after it has replied.
-#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 struct NoticeReply {
     /// Latest decision number that it knows.
     latest: edge::RevisionNumber,
     /// What it knows about the group's log.
     log: log_knowledge::LogKnowledge,
+    /// Upstreams of the group in its list.
+    listed: Vec<ids::UpstreamId>,
 }
 
 /// Replies of the other hosts of a group to a notice.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct NoticeReplies {
     /// Highest decision number that any of them knows.
     pub latest: edge::RevisionNumber,
     /// What they know about the group's log.
     pub log: log_knowledge::LogKnowledge,
+    /// Upstreams of the group in any of their lists.
+    pub listed: collections::BTreeSet<ids::UpstreamId>,
     /// Whether all of them have replied.
     pub complete: bool,
 }
 
-/// Sends a notice to the other hosts, and waits a limited time for their confirmation.
+impl NoticeReplies {
+    /// Adds the reply of one host, or that it has not replied.
+    fn add(&mut self, reply: Option<NoticeReply>) {
+        let Some(reply) = reply else {
+            self.complete = false;
+            return;
+        };
+        self.latest = self.latest.max(reply.latest);
+        self.log.merge(reply.log);
+        self.listed.extend(reply.listed);
+    }
+
+    /// Adds the replies of further hosts.
+    pub fn merge(&mut self, other: Self) {
+        self.latest = self.latest.max(other.latest);
+        self.log.merge(other.log);
+        self.listed.extend(other.listed);
+        self.complete &= other.complete;
+    }
+}
+
+/// Sends a notice to other hosts, and waits a limited time for their confirmation.
 pub async fn notify_hosts<E: edge::NodeEdge>(
     tables: rc::Rc<node_tables::NodeTables<E>>,
     notice: primary_change::ChangeNotice,
+    hosts: Vec<ids::VmId>,
 ) -> NoticeReplies {
-    let hosts = tables.ordered_hosts(&notice.group);
     let requests = hosts.iter().map(|host| async {
         let request = notify_host(&tables, host, &notice);
         let result = tokio::time::timeout(limits::NOTICE_TIMEOUT, request)
@@ -65,12 +92,7 @@
         ..NoticeReplies::default()
     };
     for reply in future::join_all(requests).await {
-        let Some(reply) = reply else {
-            replies.complete = false;
-            continue;
-        };
-        replies.latest = replies.latest.max(reply.latest);
-        replies.log.merge(reply.log);
+        replies.add(reply);
     }
     replies
 }
@@ -119,9 +141,11 @@
             ],
         );
     }
+    let pools = tables.pools_of(&group.group);
     let reply = NoticeReply {
         latest: group.latest_decision(),
         log: group.log_knowledge(),
+        listed: pools.iter().map(|pool| pool.upstream().clone()).collect(),
     };
     if let Err(error) = stream.writer.send_last(&reply).await {
         node_log::debug("peer_lost", &[("vm", &vm), ("reason", &error)]);
--- a/src/node/removed_upstreams.rs
+++ b/src/node/removed_upstreams.rs
@@ -22,6 +22,12 @@
         self.ages.insert(entry.upstream.clone(), (entry.age(), now));
     }
 
+    /// Returns whether the upstream was removed.
+    #[must_use]
+    pub fn contains(&self, upstream: &str) -> bool {
+        self.ages.contains_key(upstream)
+    }
+
     /// Returns whether the upstream was removed with a later entry of the same run.
     #[must_use]
     pub fn has_later(&self, entry: &upstream_entry::UpstreamEntry) -> bool {
--- a/src/node/table_follower.rs
+++ b/src/node/table_follower.rs
@@ -23,7 +23,6 @@
         monitored: collections::BTreeSet::new(),
         vanished: collections::BTreeMap::new(),
         last_answer: None,
-        store_lost_at: None,
         store_asked: None,
     };
     loop {
@@ -57,8 +56,6 @@
     vanished: collections::BTreeMap<VanishedEntry, Instant>,
     /// When the store last answered a watch or a listing.
     last_answer: Option<Instant>,
-    /// When the store was last found to be unavailable, while that lasts.
-    store_lost_at: Option<Instant>,
     /// When the last call to the store failed, if none has succeeded since.
     store_asked: Option<Instant>,
 }
@@ -333,13 +330,12 @@
     fn record_store_answer(&mut self, changes: usize) {
         metrics::gauge!("persimmontack_store_up").set(1.0);
         self.tables.record_store_contact();
-        if self.tables.store_available.replace(true) && self.store_lost_at.is_none() {
+        let lost_at = self.tables.store_lost_at.take();
+        if self.tables.store_available.replace(true) && lost_at.is_none() {
             return;
         }
-        let away = self
-            .store_lost_at
-            .take()
-            .map(|lost_at| lost_at.elapsed().as_millis());
+        let now = self.tables.edge.boot_time();
+        let away = lost_at.map(|lost_at| now.saturating_sub(lost_at).as_millis());
         node_log::info(
             "store_regained",
             &[
@@ -370,7 +366,9 @@
         if !self.tables.store_available.replace(false) {
             return;
         }
-        self.store_lost_at = Some(Instant::now());
+        self.tables
+            .store_lost_at
+            .set(Some(self.tables.edge.boot_time()));
         node_log::warn("store_lost", &[("reason", error)]);
     }
 
