Take an entry for an upstream only if it has every field

Cause: the decoder did not look at fields that the node does not use, and born could be missing. The entry passed for that of a replica; nothing answers at its address, so no decision could fence it, and each waited for it.

In the logs each decision ends with choice=Await of the foreign id.

Change: each field has to be there, of its type. An id that is known and whose entry turns invalid counts like one whose entry is missing: gone after 2.5 s if it does not answer. While it answers it is taken out of use like one that leaves, and decisions go on to compare it, since it may be the only one that holds a commit. Before, the old entry stayed in use for good, or vanished, depending on whether the store was watched or listed. Groups that are not configured are not monitored.

--- a/src/node/edge.rs
+++ b/src/node/edge.rs
@@ -128,6 +128,8 @@
     Upstream(upstream_entry::UpstreamEntry),
     /// An upstream's entry was removed.
     UpstreamGone(ids::UpstreamId),
+    /// The entry under an upstream's id is not one that an upstream writes.
+    UpstreamInvalid(ids::UpstreamId),
     /// A VM's entry was added or changed.
     Member(ids::VmId, member::MemberEntry),
     /// A VM's entry was removed.
--- a/src/node/monitor.rs
+++ b/src/node/monitor.rs
@@ -42,7 +42,7 @@
         let now = node_tables::monotonic_now();
         let gap = now.saturating_sub(last_tick);
         last_tick = now;
-        if !tables.is_host(&group.group) {
+        if !tables.is_configured(&group.group) || !tables.is_host(&group.group) {
             for pool in tables.pools_of(&group.group) {
                 pool.close_idle();
             }
--- a/src/node/node_tables.rs
+++ b/src/node/node_tables.rs
@@ -253,6 +253,29 @@
         self.removed.borrow().has_later(entry)
     }
 
+    /// Takes an upstream whose entry names none out of use, as one that leaves. While it answers it may
+    /// confirm commits, so decisions go on to compare it; one that does not answer is removed. Returns
+    /// whether it is still listed.
+    pub fn withdraw_upstream(&self, upstream: &str) -> bool {
+        let Some(pool) = self.pool(upstream) else {
+            return false;
+        };
+        if pool.is_suspect() || pool.health.get().last_answer().is_none() {
+            self.remove_upstream(upstream, removal_reason::RemovalReason::Vanished);
+            return false;
+        }
+        if !pool.read_entry(|entry| entry.leaving) {
+            node_log::warn("upstream_withdrawn", &[("upstream", &upstream)]);
+            let entry = upstream_entry::UpstreamEntry {
+                leaving: true,
+                ..pool.entry()
+            };
+            pool.set_entry(entry);
+            self.changed.notify_waiters();
+        }
+        true
+    }
+
     /// Removes an upstream and closes its connections.
     pub fn remove_upstream(&self, upstream: &str, reason: removal_reason::RemovalReason) {
         let pool = self.pools.borrow_mut().remove(upstream);
@@ -374,6 +397,14 @@
         limits::MEMBER_RENEWAL + limits::STORE_CALL_TIMEOUT + question
     }
 
+    /// Returns whether the configuration lists a group. An entry of another writer may name one that
+    /// does not exist.
+    #[must_use]
+    pub fn is_configured(&self, group: &str) -> bool {
+        self.config()
+            .is_some_and(|config| config.groups.contains_key(group))
+    }
+
     /// Returns whether an upstream is listed, or was removed a while ago.
     #[must_use]
     pub fn knows_upstream(&self, upstream: &str) -> bool {
--- a/src/node/table_follower.rs
+++ b/src/node/table_follower.rs
@@ -74,6 +74,8 @@
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum VanishedEntry {
     Upstream(ids::UpstreamId),
+    /// The entry of an upstream is there, but not one that an upstream writes.
+    Invalid(ids::UpstreamId),
     Member(ids::VmId),
 }
 
@@ -383,6 +385,9 @@
                 edge::ControlChange::Upstream(entry) => {
                     upstreams.insert(entry.upstream.clone());
                 }
+                edge::ControlChange::UpstreamInvalid(upstream) => {
+                    upstreams.insert(upstream.clone());
+                }
                 edge::ControlChange::Member(vm, _entry) => {
                     members.insert(vm.clone());
                 }
@@ -412,13 +417,17 @@
                 self.tables.apply_config(config);
             }
             edge::ControlChange::Upstream(entry) => {
-                self.vanished
-                    .remove(&VanishedEntry::Upstream(entry.upstream.clone()));
+                self.forget_vanished(&entry.upstream);
                 let group = entry.group.clone();
                 self.tables.apply_upstream(entry);
                 self.ensure_monitor(group);
             }
+            edge::ControlChange::UpstreamInvalid(upstream) => {
+                self.record_vanished(VanishedEntry::Invalid(upstream));
+            }
             edge::ControlChange::UpstreamGone(upstream) => {
+                self.vanished
+                    .remove(&VanishedEntry::Invalid(upstream.clone()));
                 let leaving = self
                     .tables
                     .pool(&upstream)
@@ -481,6 +490,14 @@
         });
     }
 
+    /// Forgets that the entry of an upstream had vanished, since it is there again.
+    fn forget_vanished(&mut self, upstream: &ids::UpstreamId) {
+        self.vanished
+            .remove(&VanishedEntry::Upstream(upstream.clone()));
+        self.vanished
+            .remove(&VanishedEntry::Invalid(upstream.clone()));
+    }
+
     fn record_vanished(&mut self, what: VanishedEntry) {
         node_log::info("entry_vanished", &[("entry", &format!("{what:?}"))]);
         self.vanished
@@ -506,6 +523,12 @@
                 VanishedEntry::Upstream(upstream) => {
                     tables.remove_upstream(upstream, removal_reason::RemovalReason::Vanished);
                 }
+                VanishedEntry::Invalid(upstream) => {
+                    if tables.withdraw_upstream(upstream) {
+                        *due = now + limits::STORE_RETURN_GRACE;
+                        return true;
+                    }
+                }
                 VanishedEntry::Member(member) => tables.remove_member(member),
             }
             false
--- a/src/node/tables/store_image.rs
+++ b/src/node/tables/store_image.rs
@@ -78,6 +78,7 @@
         let key = match change {
             edge::ControlChange::Config(_) => ItemKey::Config,
             edge::ControlChange::Upstream(entry) => ItemKey::Upstream(entry.upstream.clone()),
+            edge::ControlChange::UpstreamInvalid(upstream) => ItemKey::Upstream(upstream.clone()),
             edge::ControlChange::Member(vm, _) => ItemKey::Member(vm.clone()),
             edge::ControlChange::Decision(group, _) => ItemKey::Decision(group.clone()),
             edge::ControlChange::TermStart(group, _) => ItemKey::TermStart(group.clone()),
