Move the lead from a leaving primary whose replicas do not all answer

Cause: a planned move waited for the fence of every other replica, and nothing ended the work for the leaving primary meanwhile: writes.rs and read_placement.rs used it without a limit in time.

Each decision ends with choice=Await of a dark replica. That the target lags is ruled out: in the same lines it holds the primary's position.

Change: when two fifths of the deployment's time (Bounds.DrainMs, now read) are left, the primary is told to step down instead. Its log is final then, and an upstream that stays and holds all of it is promoted, the target first; without one, after 0.5 s, the primary itself. A lost answer is asked for again. Independently of that, an upstream that leaves gets no statement after four fifths of the time, at the one place where statements get a connection; callers are refused at once as not run, reads that a replica can serve go on.

--- a/src/node/attempt.rs
+++ b/src/node/attempt.rs
@@ -27,6 +27,8 @@
     TransactionLimit,
     /// The upstream was replaced, was removed or refuses connections.
     Moved,
+    /// The upstream is leaving, and the time in which it takes statements is over.
+    Leaving,
     /// The upstream had no free slot.
     Busy,
     /// The upstream's log does not hold the required position.
@@ -82,6 +84,7 @@
         pool::AcquireError::Crowded => NotRun::Crowded,
         pool::AcquireError::TransactionLimit => NotRun::TransactionLimit,
         pool::AcquireError::Moved => NotRun::Moved,
+        pool::AcquireError::Leaving => NotRun::Leaving,
     }
 }
 
--- a/src/node/connections/pool.rs
+++ b/src/node/connections/pool.rs
@@ -26,6 +26,8 @@
     TransactionLimit,
     /// The upstream was removed, is no longer the primary, or refuses connections.
     Moved,
+    /// The upstream is leaving, and the time in which it takes statements is over.
+    Leaving,
 }
 
 /// This VM's connections to one upstream, each of one workspace, and the statements that wait for
@@ -34,6 +36,9 @@
     pub(super) tables: rc::Weak<node_tables::NodeTables<E>>,
     pub(super) upstream: ids::UpstreamId,
     entry: cell::RefCell<upstream_entry::UpstreamEntry>,
+    /// Until when the upstream takes statements, if it is leaving, as a time of
+    /// [`edge::NodeEdge::boot_time`].
+    closes_at: cell::Cell<Option<time::Duration>>,
     pub(super) idle: cell::RefCell<idle_connections::IdleConnections<E>>,
     pub(super) waiting: cell::RefCell<wait_queue::WaitQueue<upstream_session::UpstreamSession<E>>>,
     window: cell::Cell<request_window::RequestWindow>,
@@ -74,6 +79,7 @@
             tables,
             upstream: entry.upstream.clone(),
             entry: cell::RefCell::new(entry),
+            closes_at: cell::Cell::default(),
             idle: cell::RefCell::default(),
             waiting: cell::RefCell::default(),
             window: cell::Cell::default(),
@@ -121,6 +127,45 @@
         *self.entry.borrow_mut() = entry;
     }
 
+    /// Sets until when the upstream takes statements after its entry has changed. `seen` tells whether
+    /// this VM would have seen an earlier report that it leaves: otherwise, that may be long ago.
+    pub fn limit_statements(&self, seen: bool) {
+        if !self.read_entry(|entry| entry.leaving) {
+            self.closes_at.set(None);
+            return;
+        }
+        let Some(tables) = self.tables.upgrade() else {
+            return;
+        };
+        let limit = tables.drain_limit.get();
+        let left = if seen {
+            limit - limit / limits::DRAIN_MARGIN_PARTS
+        } else {
+            limit / limits::DRAIN_START_PARTS
+        };
+        if self.closes_at.get().is_none() {
+            self.closes_at.set(Some(tables.edge.boot_time() + left));
+        }
+    }
+
+    /// Returns whether the upstream takes no more statements: it has been leaving for so long that the
+    /// deployment allows none.
+    #[must_use]
+    pub fn is_closed(&self) -> bool {
+        let closes_at = self.closes_at.get();
+        closes_at.is_some_and(|closes_at| self.boot_time() >= closes_at)
+    }
+
+    /// Returns whether the upstream, which is leaving, has to be replaced now as the primary.
+    #[must_use]
+    pub fn closes_soon(&self) -> bool {
+        let (Some(closes_at), Some(tables)) = (self.closes_at.get(), self.tables.upgrade()) else {
+            return false;
+        };
+        let left = closes_at.saturating_sub(tables.edge.boot_time());
+        left <= tables.drain_limit.get().mul_f64(limits::STEP_DOWN_SHARE)
+    }
+
     /// Returns the number of connections that are open or being opened.
     #[must_use]
     pub fn connections(&self) -> u32 {
--- a/src/node/connections/scheduling.rs
+++ b/src/node/connections/scheduling.rs
@@ -24,6 +24,9 @@
     if pool.removed.get() || !share::is_listed(pool, &workspace) {
         return Err(pool::AcquireError::Moved);
     }
+    if pool.is_closed() {
+        return Err(pool::AcquireError::Leaving);
+    }
     let work = mean_answer_time(pool);
     if pool.waiting.borrow().is_empty() && pool.has_window() {
         let idle = pool.idle.borrow_mut().take(&workspace);
--- a/src/node/decision.rs
+++ b/src/node/decision.rs
@@ -11,8 +11,9 @@
 
 use crate::model::{ids, log_position, term_start};
 use crate::node::{
-    command, edge, group, informed_hosts, leadership, limits, log_evidence, log_format, log_survey,
-    monitor, node_log, node_tables, pool, primary_change, probe, promotion, promotion_candidate,
+    edge, group, informed_hosts, leadership, limits, log_evidence, log_format, log_survey, monitor,
+    node_log, node_tables, planned_move, pool, primary_change, probe, promotion,
+    promotion_candidate,
 };
 
 /// How a decision ended.
@@ -44,20 +45,21 @@
 /// One decision with its number.
 #[derive(Debug)]
 pub struct Decision<'a, E: edge::NodeEdge> {
-    tables: &'a rc::Rc<node_tables::NodeTables<E>>,
-    group: &'a rc::Rc<group::GroupState>,
+    pub(super) tables: &'a rc::Rc<node_tables::NodeTables<E>>,
+    pub(super) group: &'a rc::Rc<group::GroupState>,
     number: edge::RevisionNumber,
     change: primary_change::PrimaryChange,
     /// When the decision is abandoned, as a time of [`edge::NodeEdge::boot_time`], so that a
     /// suspension doesn't prolong it.
     deadline: time::Duration,
-    term: ids::TermNumber,
+    /// Term of the fences.
+    pub(super) term: ids::TermNumber,
     /// Upstreams that this decision has fenced.
     pub fenced: Vec<rc::Rc<pool::UpstreamPool<E>>>,
     /// The other hosts, as far as they have been told of this decision.
     hosts: informed_hosts::InformedHosts<'a, E>,
     /// Log that the next primary begins its term with, if it is known before the promotion.
-    successor_log: Option<log_position::LogPosition>,
+    pub(super) successor_log: Option<log_position::LogPosition>,
 }
 
 impl<'a, E: edge::NodeEdge> Decision<'a, E> {
@@ -118,7 +120,14 @@
         let choice = match (problem, &self.change.successor) {
             (monitor::GroupProblem::Leaving, Some(target)) => {
                 let target = target.clone();
-                self.move_primary(target).await
+                match self.group.primary() {
+                    Some(old) => {
+                        planned_move::PlannedMove::new(self, old, target)
+                            .run()
+                            .await
+                    }
+                    None => Err(DecisionEnd::GaveUp("the primary is gone".to_owned())),
+                }
             }
             _ => self.fail_over(problem).await,
         };
@@ -216,7 +225,7 @@
 
     /// Waits until the other hosts have been told of the decision and, for a limited time, until the
     /// list is from after their replies.
-    async fn await_current_list(&mut self) -> Result<(), DecisionEnd> {
+    pub(super) async fn await_current_list(&mut self) -> Result<(), DecisionEnd> {
         let deadline = self.deadline;
         let listed = self.hosts.await_current_list(self.group, deadline).await;
         if self.hosts.latest_decision() > self.number {
@@ -233,9 +242,16 @@
         self.tables.edge.boot_time() >= deadline
     }
 
+    /// Gives the decision the time of a new one: the primary is told to step down, so that the group has
+    /// none until an upstream is promoted.
+    pub(super) fn extend_deadline(&mut self) {
+        let deadline = self.tables.edge.boot_time() + limits::DECISION_TIMEOUT;
+        self.deadline = self.deadline.max(deadline);
+    }
+
     /// Pauses before the next attempt. Fails if the decision was overtaken or its deadline has
     /// passed; `missing` gives the reason.
-    async fn pause(&self, missing: impl FnOnce() -> String) -> Result<(), DecisionEnd> {
+    pub(super) async fn pause(&self, missing: impl FnOnce() -> String) -> Result<(), DecisionEnd> {
         if self.group.latest_decision() != self.number {
             return Err(DecisionEnd::Overtaken);
         }
@@ -246,49 +262,7 @@
         Ok(())
     }
 
-    /// Fences every replica but `target`, and returns `target` once it holds everything that the
-    /// primary has committed.
-    async fn move_primary(
-        &mut self,
-        target: ids::UpstreamId,
-    ) -> Result<ids::UpstreamId, DecisionEnd> {
-        let Some(old) = self.group.primary() else {
-            return Err(DecisionEnd::GaveUp("the primary is gone".to_owned()));
-        };
-        // Commits of which a caller was told before all hosts knew of the decision are at or below the
-        // position that the primary reports after that.
-        self.await_current_list().await?;
-        loop {
-            let mut candidates = self.fence_all_but(Some(&old), Some(&target)).await;
-            let Some(primary_position) = self.query_lead(&old).await.and_then(|lead| lead.position)
-            else {
-                let reason = "the primary stopped answering".to_owned();
-                return Err(DecisionEnd::GaveUp(reason));
-            };
-            if let Some(pool) = self.tables.pool(&target)
-                && let Some(status) =
-                    probe::query_status(&pool, &command::UpstreamCommand::Status).await
-            {
-                for candidate in &mut candidates {
-                    if candidate.upstream == target {
-                        candidate.received = Some(status.received);
-                    }
-                }
-            }
-            let choice = promotion::choose_move(&candidates, &target, primary_position);
-            self.log_step(&choice, &candidates, Some(primary_position));
-            match choice {
-                promotion::PromotionChoice::Promote(upstream) => return Ok(upstream),
-                promotion::PromotionChoice::Nothing
-                | promotion::PromotionChoice::Await(_)
-                | promotion::PromotionChoice::CatchUp(..) => {
-                    self.pause(|| format!("{target} did not catch up")).await?;
-                }
-            }
-        }
-    }
-
-    fn log_step(
+    pub(super) fn log_step(
         &self,
         choice: &promotion::PromotionChoice,
         candidates: &[promotion_candidate::PromotionCandidate],
@@ -337,7 +311,7 @@
     }
 
     /// Fences every upstream except the old primary and the target, and returns their states.
-    async fn fence_all_but(
+    pub(super) async fn fence_all_but(
         &mut self,
         old: Option<&str>,
         target: Option<&str>,
@@ -451,7 +425,7 @@
     }
 
     /// Returns what an upstream reports if it acts as the primary.
-    async fn query_lead(&self, upstream: &str) -> Option<probe::PrimaryLead> {
+    pub(super) async fn query_lead(&self, upstream: &str) -> Option<probe::PrimaryLead> {
         let pool = self.tables.pool(upstream)?;
         match probe::query_role(&pool, self.group, false).await {
             probe::RoleAnswer::Primary(lead) => Some(lead),
--- a/src/node/group.rs
+++ b/src/node/group.rs
@@ -365,6 +365,12 @@
         (now.saturating_sub(open.seen) < limits::DECISION_EXPIRY).then(|| open.change.clone())
     }
 
+    /// Returns whether the primary may be about to change: a decision is in progress.
+    #[must_use]
+    pub fn is_changing(&self, now: time::Duration) -> bool {
+        self.is_deciding() || self.open_change(now).is_some()
+    }
+
     /// Returns whether a decision has been open for longer than a decision can take: its VM has
     /// died or could not close it.
     #[must_use]
--- a/src/node/limits.rs
+++ b/src/node/limits.rs
@@ -155,7 +155,21 @@
 /// Time from the acknowledgement of a configuration until it has to be in force, unless the
 /// settings say otherwise.
 pub const CONFIG_APPLY_LIMIT: Duration = Duration::from_secs(3);
-/// Part of that time that is left for the next call when a watch is noticed to be lost.
+/// Time from the report of an upstream that it leaves until it may get no more statements, unless the
+/// settings say otherwise.
+pub const DRAIN_LIMIT: Duration = Duration::from_secs(7);
+/// Part of that time by which a VM may learn of the report late, and statements may be under way.
+pub const DRAIN_MARGIN_PARTS: u32 = 5;
+/// Part of that time for which an upstream gets statements that was leaving already when this VM
+/// started.
+pub const DRAIN_START_PARTS: u32 = 2;
+/// Part of that time that is left when a planned move waits no longer for the fences of all other
+/// replicas, and has the primary step down.
+pub const STEP_DOWN_SHARE: f64 = 0.4;
+/// Time for which a planned move waits for a replica that holds the log of a primary that has stepped
+/// down, before it has that one promoted again.
+pub const MOVE_CATCH_UP_TIMEOUT: Duration = Duration::from_millis(500);
+/// Part of the time for a configuration that is left for the next call when a watch is noticed to be lost.
 pub const LOST_WATCH_RESERVE: Duration = Duration::from_millis(600);
 /// Upper bound of that part, as a fraction of the whole time.
 pub const LOST_WATCH_RESERVE_PARTS: u32 = 4;
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -43,6 +43,7 @@
 pub mod peer_list;
 pub mod peers;
 pub mod placement;
+pub mod planned_move;
 pub mod primary_change;
 pub mod probe;
 pub mod promotion;
--- a/src/node/monitor.rs
+++ b/src/node/monitor.rs
@@ -68,6 +68,9 @@
             pool.ensure_connection();
             pool.close_unused();
             pool.review_waiting();
+            if pool.is_closed() {
+                pool.redirect_waiting();
+            }
             let health = pool.health.get();
             let quiet = silence_of(&pool) > limits::POSITION_INTERVAL;
             if health.needs_probe(now) || !has_primary || (may_be_cut_off && quiet) {
--- a/src/node/node_tables.rs
+++ b/src/node/node_tables.rs
@@ -73,10 +73,15 @@
     pub store_available: cell::Cell<bool>,
     /// When the store was last found to be unavailable, as a time of [`edge::NodeEdge::boot_time`].
     pub store_lost_at: cell::Cell<Option<time::Duration>>,
+    /// Whether a call to the store has failed since its last answer, so that the changes in the next one
+    /// may be old.
+    pub missed_changes: cell::Cell<bool>,
     /// When the store last answered any call of this VM, by the monotonic clock.
     pub store_contact: cell::Cell<Option<time::Duration>>,
     /// Time from the acknowledgement of a configuration until it has to be in force.
     pub config_apply_limit: cell::Cell<time::Duration>,
+    /// Time from the report of an upstream that it leaves until it may get no more statements.
+    pub drain_limit: cell::Cell<time::Duration>,
     /// Requests an immediate refresh of the tables from the store.
     pub refresh: Notify,
     /// What the store had when it was last heard of, for other VMs.
@@ -120,8 +125,10 @@
             config_changed: Notify::new(),
             store_available: cell::Cell::default(),
             store_lost_at: cell::Cell::default(),
+            missed_changes: cell::Cell::default(),
             store_contact: cell::Cell::default(),
             config_apply_limit: cell::Cell::new(limits::CONFIG_APPLY_LIMIT),
+            drain_limit: cell::Cell::new(limits::DRAIN_LIMIT),
             refresh: Notify::new(),
             store_image: store_image::SharedImage::default(),
             restored: Notify::new(),
@@ -132,6 +139,12 @@
         })
     }
 
+    /// Applies the bounds of the deployment.
+    pub fn set_bounds(&self, config_apply_limit: time::Duration, drain_limit: time::Duration) {
+        self.config_apply_limit.set(config_apply_limit);
+        self.drain_limit.set(drain_limit);
+    }
+
     /// Records that the store has answered a call of this VM.
     pub fn record_store_contact(&self) {
         self.store_contact.set(Some(monotonic_now()));
@@ -223,7 +236,10 @@
         let stepped_down = was_primary && !entry.primary;
         let upstream = entry.upstream.clone();
         match self.pool(&upstream) {
-            Some(pool) => pool.set_entry(entry),
+            Some(pool) => {
+                pool.set_entry(entry);
+                pool.limit_statements(!self.missed_changes.get());
+            }
             None => {
                 if self.has_complete_list() {
                     group.counted.add_listed(&upstream);
@@ -231,6 +247,7 @@
                     group.counted.add_early(&upstream);
                 }
                 let pool = pool::UpstreamPool::new(rc::Rc::downgrade(self), entry);
+                pool.limit_statements(self.has_complete_list() && !self.missed_changes.get());
                 self.pools.borrow_mut().insert(upstream.clone(), pool);
             }
         }
@@ -271,6 +288,7 @@
                 ..pool.entry()
             };
             pool.set_entry(entry);
+            pool.limit_statements(true);
             self.changed.notify_waiters();
         }
         true
--- a/src/node/placement/read_placement.rs
+++ b/src/node/placement/read_placement.rs
@@ -50,6 +50,7 @@
             // needs few connections.
             pools.sort_by_cached_key(|pool| cmp::Reverse(ownership::score(name, pool.upstream())));
         }
+        pools.retain(|pool| !pool.is_closed());
         if primary_only {
             pools.retain(|pool| group.is_primary(pool.upstream()));
         }
@@ -65,7 +66,8 @@
                     let place = remote.then(|| number_of(&mut places, &entry.data_centre));
                     (place, entry.leaving, entry.slots)
                 });
-                // A leaving primary still serves the reads that only the primary can serve.
+                // A leaving primary still serves the reads that only the primary can serve, until it is
+                // closed.
                 let leaving = leaving && !primary_only;
                 let pressure = health.load.pressure(now);
                 let assumed = place.map_or(0.0, |_| home_refused);
--- a/src/node/reads.rs
+++ b/src/node/reads.rs
@@ -72,6 +72,15 @@
         Some((pool, min_position))
     }
 
+    /// Returns whether only the primary can serve the read, which takes no more statements, and nobody
+    /// is replacing it.
+    fn is_refused_by_leaver<E: edge::NodeEdge>(&self, tables: &node_tables::NodeTables<E>) -> bool {
+        let primary = tables.primary_pool(&self.group);
+        self.route.policy == config::ReadPolicy::Latest
+            && primary.is_some_and(|pool| pool.is_closed())
+            && !self.group.is_changing(node_tables::monotonic_now())
+    }
+
     /// Returns whether an upstream that was not tried has room for the read at once.
     fn has_room_elsewhere<E: edge::NodeEdge>(
         &self,
@@ -137,6 +146,9 @@
                     } else {
                         refuse_deadline.min(retry_deadline)
                     };
+                    if plan.is_refused_by_leaver(tables) {
+                        break failure(may_have_run, attempt::NotRun::Leaving);
+                    }
                     if now >= deadline {
                         break failure(may_have_run, last_not_run);
                     }
@@ -317,7 +329,9 @@
                 tables.set_primary(&plan.group, None, "refused_lead");
             }
         }
-        attempt::NotRun::Moved => tokio::time::sleep(limits::ROUTE_PAUSE / 3).await,
+        attempt::NotRun::Moved | attempt::NotRun::Leaving => {
+            tokio::time::sleep(limits::ROUTE_PAUSE / 3).await;
+        }
         attempt::NotRun::Unproved => tokio::time::sleep(limits::ROUTE_PAUSE).await,
         attempt::NotRun::NoUpstream
         | attempt::NotRun::NoConnection
--- a/src/node/table_follower.rs
+++ b/src/node/table_follower.rs
@@ -140,6 +140,7 @@
                         "store_history_gone",
                         &[("revision", &revision), ("reason", &error)],
                     );
+                    self.tables.missed_changes.set(true);
                     return;
                 }
                 Err(error) => {
@@ -242,6 +243,7 @@
     /// Records that the tables reflect a revision, as read by a call that began at `began_at`.
     fn record_revision(&mut self, revision: edge::RevisionNumber, began_at: time::Duration) {
         self.tables.revision.set(revision);
+        self.tables.missed_changes.set(false);
         let answered = self.last_answer.replace(Instant::now());
         let outage = answered.is_none_or(|answered| answered.elapsed() > limits::STORE_OUTAGE_GAP);
         self.tables.record_store_answer(outage);
@@ -364,6 +366,7 @@
 
     /// Records that the store is unavailable.
     fn record_store_error(&mut self, error: &edge::StoreError) {
+        self.tables.missed_changes.set(true);
         metrics::gauge!("persimmontack_store_up").set(0.0);
         if !self.tables.store_available.replace(false) {
             return;
--- a/src/node/transaction.rs
+++ b/src/node/transaction.rs
@@ -289,9 +289,13 @@
             let target = if self.read_only {
                 self.plan.choose_upstream(tables, &tried)
             } else {
-                writes::await_primary(tables, &self.plan.group, started, &self.plan.route)
+                match writes::await_primary(tables, &self.plan.group, started, &self.plan.route)
                     .await
-                    .map(|pool| (pool, None))
+                {
+                    Ok(pool) => Some((pool, None)),
+                    Err(attempt::NotRun::Leaving) => return Err(attempt::NotRun::Leaving),
+                    Err(_no_primary) => None,
+                }
             };
             let Some((pool, min_position)) = target else {
                 if !self.read_only {
--- a/src/node/writes.rs
+++ b/src/node/writes.rs
@@ -43,26 +43,40 @@
     Unknown(ids::UpstreamId, String),
 }
 
-/// Waits for a primary of the group that answers. Returns `None` if there is none for
-/// [`limits::QUEUE_TIME_SHARE`] of the statement's timeout, or if the primary could not be proved to
-/// lead for [`limits::UNPROVED_REFUSAL`]: a primary whose replicas are out of reach has probably
-/// been replaced, and a write would hang there.
+/// Waits for a primary of the group that answers.
+///
+/// # Errors
+///
+/// Fails if there is none for [`limits::QUEUE_TIME_SHARE`] of the statement's timeout, or if the primary
+/// could not be proved to lead for [`limits::UNPROVED_REFUSAL`]: a primary whose replicas are out of
+/// reach has probably been replaced, and a write would hang there. Fails at once with
+/// [`attempt::NotRun::Leaving`] if the primary takes no more statements and nobody is replacing it.
 pub async fn await_primary<E: edge::NodeEdge>(
     tables: &node_tables::NodeTables<E>,
     group: &group::GroupState,
     started: Instant,
     route: &config::DatabaseRoute,
-) -> Option<rc::Rc<pool::UpstreamPool<E>>> {
+) -> Result<rc::Rc<pool::UpstreamPool<E>>, attempt::NotRun> {
     let retry_deadline = started + route.timeout.mul_f64(limits::QUEUE_TIME_SHARE);
     loop {
-        if let Some(pool) = tables.primary_pool(group)
+        let primary = tables.primary_pool(group);
+        let closed = primary.as_ref().is_some_and(|pool| pool.is_closed());
+        if closed && !group.is_changing(node_tables::monotonic_now()) {
+            return Err(attempt::NotRun::Leaving);
+        }
+        if let Some(pool) = primary
             && !pool.is_suspect()
+            && !closed
         {
             let overdue = group.proof.is_overdue(tables.edge.boot_time());
-            return (!overdue).then_some(pool);
+            return if overdue {
+                Err(attempt::NotRun::Unproved)
+            } else {
+                Ok(pool)
+            };
         }
         if Instant::now() >= retry_deadline {
-            return None;
+            return Err(attempt::NotRun::NoUpstream);
         }
         tokio::select! {
             () = tables.changed.notified() => {}
@@ -83,8 +97,12 @@
             return WriteOutcome::NotRun(attempt::NotRun::Stalled);
         }
         let primary = await_primary(tables, &job.group, job.started, &job.route).await;
-        let Some(pool) = primary else {
-            return WriteOutcome::NotRun(last);
+        let pool = match primary {
+            Ok(pool) => pool,
+            Err(attempt::NotRun::Leaving) => {
+                return WriteOutcome::NotRun(attempt::NotRun::Leaving);
+            }
+            Err(_no_primary) => return WriteOutcome::NotRun(last),
         };
         let options = job.route.wait_options(job.started);
         let session = match pool.acquire(job.workspace.clone(), options).await {
@@ -96,8 +114,8 @@
             ) => {
                 return WriteOutcome::NotRun(attempt::acquire_failure(error));
             }
-            Err(pool::AcquireError::Moved) => {
-                last = attempt::NotRun::Moved;
+            Err(error @ (pool::AcquireError::Moved | pool::AcquireError::Leaving)) => {
+                last = attempt::acquire_failure(error);
                 if Instant::now() >= retry_deadline {
                     return WriteOutcome::NotRun(last);
                 }
--- a/standins/src/cluster/cluster_state.rs
+++ b/standins/src/cluster/cluster_state.rs
@@ -214,6 +214,7 @@
             listed: false,
             applies: true,
             lost_statement_answers: 0,
+            lost_step_downs: 0,
             busy: 0,
             ran: Vec::new(),
             ran_value_names: Vec::new(),
--- a/standins/src/cluster/connection_state.rs
+++ b/standins/src/cluster/connection_state.rs
@@ -85,6 +85,11 @@
             .committed
             .filter(|at| state.commit_outcome(*at) != pending_commit::CommitOutcome::Acknowledged);
         let instance = state.instance(&self.instance);
+        if matches!(command, command::UpstreamCommand::StepDown(_)) && instance.lost_step_downs > 0
+        {
+            instance.lost_step_downs -= 1;
+            return CommandOutcome::NoAnswer;
+        }
         if pending.is_none() && statement && instance.lost_statement_answers > 0 {
             instance.lost_statement_answers -= 1;
             return CommandOutcome::NoAnswer;
--- a/standins/src/cluster/instance_state.rs
+++ b/standins/src/cluster/instance_state.rs
@@ -40,6 +40,8 @@
     pub applies: bool,
     /// Number of upcoming statements that run and whose answers are lost.
     pub lost_statement_answers: u32,
+    /// Number of upcoming orders to step down that are carried out and whose answers are lost.
+    pub lost_step_downs: u32,
     /// Number of upcoming statements that are refused because no slot is free.
     pub busy: u32,
     /// Ids and texts of the callers' statements that it ran.
