End the right of a rate limit's holder by its own clock

Cause: a holder that the store turns away went on to grant from a pool, at up to 95% of the limit, for 9.5 s or without end, while the others had dropped its entry and the next holder granted in full. It could not tell that from a store that is down for all, where nobody takes over. The same held for a VM that lost the holder and does not learn of the next one.

The overlap of VMs that learn of the change late is ruled out: it is over in half a second, and the excess lasts until the store answers again.

Change: 8 s after it sent its last renewal, a holder has no right to its buckets, unless other VMs say that none has taken its place: one that the store answers has its entry, or all that are asked answer and the store answers none. Each grant says for how long no other VM can grant, and a VM that learns nothing of the members stops then. A VM that has just started does not take over what another one may still hold. New stream Place between VMs.

Tests: with the old rules, a_holder_that_the_store_turns_away_does_not_grant_beside_the_next_one, the new test of the model and three of rate_limits fail. The model could not make a VM that lacks the store and reaches the others, nor a VM that joins with a list that lacks a holder; both are in it now. a_holder_grants_on_while_the_store_is_down_for_all guards what callers had.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -19,6 +19,7 @@
 pub mod membership;
 pub mod message_bounds;
 pub mod ownership;
+pub mod place_evidence;
 pub mod placement;
 pub mod placement_share;
 pub mod rate_bucket;
--- a/src/decide/rate_bucket.rs
+++ b/src/decide/rate_bucket.rs
@@ -168,6 +168,7 @@
                 granted: 0,
                 scale,
                 retry_after: seconds(RETRY_RANGE.1),
+                unreplaced_for: time::Duration::ZERO,
             };
         };
         let share = if overloaded {
@@ -198,6 +199,8 @@
             granted,
             scale,
             retry_after: seconds(pause.clamp(RETRY_RANGE.0, RETRY_RANGE.1)),
+            // Known to the holder only.
+            unreplaced_for: time::Duration::ZERO,
         }
     }
 
--- a/src/decide/rate_holder.rs
+++ b/src/decide/rate_holder.rs
@@ -1,12 +1,14 @@
 //! [`RateHolder`]: the token buckets that one VM holds, and whether it may grant from them.
 //!
 //! Addresses holders that die, freeze and resume, hand over and are cut off: at most one VM grants
-//! a workspace's tokens in full, except while a joining VM is known to some VMs only.
+//! a workspace's tokens in full, except while a joining VM is known to some VMs only. A holder that the
+//! store does not answer gives up its buckets when the others may drop its entry, unless other VMs say
+//! that none has taken its place.
 
 use std::collections;
 use std::time;
 
-use crate::decide::{rate_bucket, rate_limit};
+use crate::decide::{place_evidence, rate_bucket, rate_limit};
 use crate::model::ids;
 
 /// Time before its entry expires from which a holder no longer grants.
@@ -34,6 +36,20 @@
     pub follows_peers: bool,
     /// Whether its tables show that its entry in the store has vanished.
     pub entry_vanished: bool,
+    /// What other VMs say of its place among the members.
+    pub place: place_evidence::PlaceEvidence,
+    /// Whether no VM that it does not know can hold a bucket: it has followed the members for long
+    /// enough, or other VMs say so.
+    pub may_take_over: bool,
+}
+
+impl HolderFacts {
+    /// Returns whether the VM knows that no other one has taken its place, although the store does not
+    /// answer it.
+    fn keeps_place(&self) -> bool {
+        let kept = self.place == place_evidence::PlaceEvidence::Kept;
+        !self.isolated && (self.follows_peers || kept)
+    }
 }
 
 /// Change of the buckets that a VM holds.
@@ -57,6 +73,8 @@
 #[derive(Clone, Debug)]
 pub struct RateHolder {
     entry_ttl: time::Duration,
+    /// Time for which the other VMs keep an entry that has vanished.
+    entry_grace: time::Duration,
     buckets: collections::BTreeMap<ids::WorkspaceName, HeldBucket>,
     /// Workspaces with limits in the last configuration that was looked at.
     listed: Option<collections::BTreeSet<ids::WorkspaceName>>,
@@ -67,11 +85,13 @@
 }
 
 impl RateHolder {
-    /// Creates a holder without buckets on a VM whose entry in the store expires after `entry_ttl`.
+    /// Creates a holder without buckets on a VM whose entry in the store expires after `entry_ttl`, and
+    /// is then kept by the other VMs for `entry_grace`.
     #[must_use]
-    pub const fn new(entry_ttl: time::Duration) -> Self {
+    pub const fn new(entry_ttl: time::Duration, entry_grace: time::Duration) -> Self {
         Self {
             entry_ttl,
+            entry_grace,
             buckets: collections::BTreeMap::new(),
             listed: None,
             last_run: None,
@@ -130,6 +150,9 @@
             let is_new = before
                 .as_ref()
                 .is_some_and(|before| !before.contains(workspace));
+            if !is_new && !facts.may_take_over {
+                continue;
+            }
             let delay = if is_new {
                 time::Duration::ZERO
             } else {
@@ -161,7 +184,24 @@
             return None;
         }
         held.bucket.set_limit(limit, now);
-        Some(held.bucket.grant(vm, ask, mode, now))
+        let grant = held.bucket.grant(vm, ask, mode, now);
+        Some(rate_limit::RateGrant {
+            unreplaced_for: self.unreplaced_for(facts, now),
+            ..grant
+        })
+    }
+
+    /// Returns the time for which no other VM can grant from this one's buckets.
+    fn unreplaced_for(&self, facts: HolderFacts, now: time::Duration) -> time::Duration {
+        let renewed_at = facts.renewed_at.unwrap_or_default();
+        // The new holder's delay is left for VMs that learn of it late.
+        let replaced_at = renewed_at + self.entry_ttl + self.entry_grace;
+        let left = replaced_at.saturating_sub(now);
+        if facts.keeps_place() {
+            left.max(self.entry_grace)
+        } else {
+            left
+        }
     }
 
     /// Stops to reserve the rates of a VM that has closed its stream.
@@ -184,15 +224,17 @@
         if valid && !facts.isolated {
             return Some(rate_bucket::GrantMode::Full);
         }
-        if !valid && (facts.reaches_store || facts.entry_vanished) {
+        let lost = facts.place == place_evidence::PlaceEvidence::Lost;
+        if !valid && (facts.reaches_store || facts.entry_vanished || lost) {
             return None;
         }
-        let invalid_for = (age + ENTRY_MARGIN).saturating_sub(self.entry_ttl);
-        // Either way the store may answer other VMs, one of which has then taken over.
-        let is_replaceable = !valid && (facts.follows_peers || facts.isolated);
-        if is_replaceable && invalid_for >= rate_limit::AUTONOMY_LIMIT {
+        // By then the other VMs may have dropped the entry, and one of them takes over.
+        let is_over = age + ENTRY_MARGIN >= self.entry_ttl + self.entry_grace;
+        if is_over && !facts.keeps_place() {
             return None;
         }
+        // Either way the store may answer other VMs, one of which is then about to take over.
+        let is_replaceable = !valid && (facts.follows_peers || facts.isolated);
         let most_scale = if is_replaceable {
             1.0
         } else {
--- a/src/decide/rate_limit.rs
+++ b/src/decide/rate_limit.rs
@@ -95,4 +95,6 @@
     pub scale: f64,
     /// If fewer tokens were granted than wanted: when the VM may expect the next one.
     pub retry_after: time::Duration,
+    /// Time for which no other VM can grant from the bucket, also if the holder falls silent now.
+    pub unreplaced_for: time::Duration,
 }
--- a/src/decide/rate_stock.rs
+++ b/src/decide/rate_stock.rs
@@ -107,6 +107,10 @@
     members: u32,
     /// Whether the holder has changed since the last grant.
     holder_changed: bool,
+    /// Whether this VM learns of a new holder.
+    informed: bool,
+    /// Until when no other VM than the holder can grant.
+    unreplaced_until: time::Duration,
     used_at: time::Duration,
     /// What this VM alone may spend, whatever was granted under an earlier configuration.
     cap: f64,
@@ -133,6 +137,8 @@
             autonomy: None,
             members: 0,
             holder_changed: false,
+            informed: true,
+            unreplaced_until: time::Duration::ZERO,
             used_at: now,
             cap: cap_of(limit),
             capped_at: now,
@@ -171,6 +177,12 @@
         self.members = members;
     }
 
+    /// Sets whether this VM learns of a new holder. If it does not, it may continue without the holder
+    /// only until a new one can grant.
+    pub const fn set_informed(&mut self, informed: bool) {
+        self.informed = informed;
+    }
+
     /// Records that an operation arrived.
     pub fn record_arrival(&mut self, now: time::Duration) {
         self.demand.add(1.0, now);
@@ -199,7 +211,11 @@
                 StockTake::Wait
             };
         };
-        autonomy.accrue(now);
+        if !self.informed && now >= self.unreplaced_until {
+            autonomy.pause(now);
+        } else {
+            autonomy.accrue(now);
+        }
         if autonomy.credit < 1.0 {
             return StockTake::Refused(autonomy.cause);
         }
@@ -293,6 +309,7 @@
         self.answered_at = Some(now);
         self.holder_changed = false;
         self.scale = grant.scale.clamp(0.0, rate_limit::MAX_SCALE);
+        self.unreplaced_until = asked_at + grant.unreplaced_for;
         let expires_at = asked_at + rate_limit::TOKEN_EXPIRY;
         if grant.granted > 0 && now < expires_at {
             self.lots.push_back((expires_at, grant.granted));
@@ -380,6 +397,7 @@
         self.refused_until = time::Duration::ZERO;
         self.kept = false;
         self.holder_changed = true;
+        self.unreplaced_until = time::Duration::ZERO;
     }
 
     /// Records a refused operation. Returns after which time its caller should come back; `phase`
@@ -435,6 +453,12 @@
 }
 
 impl AutonomyState {
+    /// Gives up what was saved, since another VM may be granting.
+    const fn pause(&mut self, now: time::Duration) {
+        self.credit = 0.0;
+        self.credited_at = now;
+    }
+
     fn accrue(&mut self, now: time::Duration) {
         let until = now.min(self.until);
         let elapsed = until.saturating_sub(self.credited_at).as_secs_f64();
--- a/src/link/stream_kind.rs
+++ b/src/link/stream_kind.rs
@@ -26,6 +26,8 @@
     Follow,
     /// Tokens of workspaces with a rate limit. Node to node.
     Limits,
+    /// Asks whether a VM still has its place among the members. Node to node.
+    Place,
     /// Operators' requests. `persimmonctl` to a keeper or an entry.
     Control,
 }
@@ -46,6 +48,7 @@
             Self::Group => "/group",
             Self::Follow => "/follow",
             Self::Limits => "/limits",
+            Self::Place => "/place",
             Self::Control => "/control",
         }
     }
@@ -65,6 +68,7 @@
             Self::Group,
             Self::Follow,
             Self::Limits,
+            Self::Place,
             Self::Control,
         ]
         .into_iter()
--- a/src/node/node_tables.rs
+++ b/src/node/node_tables.rs
@@ -58,6 +58,8 @@
     pub entry_renewed_at: cell::Cell<Option<time::Duration>>,
     /// Requests an immediate renewal of this VM's entry.
     pub renew: Notify,
+    /// Members whose entries have vanished from the store, and that are kept for a while.
+    pub vanished_members: cell::RefCell<collections::BTreeSet<ids::VmId>>,
     /// Number of times that a VM was added to or removed from the members.
     pub member_changes: cell::Cell<u64>,
     /// Whether this VM is cut off from other data centres.
@@ -118,6 +120,7 @@
             rate_limits: rate_limits::limit_table::LimitTable::default(),
             entry_renewed_at: cell::Cell::default(),
             renew: Notify::new(),
+            vanished_members: cell::RefCell::default(),
             member_changes: cell::Cell::default(),
             isolation: isolation::IsolationState::default(),
             budget: cell::RefCell::default(),
@@ -515,6 +518,7 @@
 
     /// Adds or updates a member VM.
     pub fn add_member(&self, member: &str, entry: member::MemberEntry) {
+        self.vanished_members.borrow_mut().remove(member);
         let before = self.members.borrow_mut().insert(member.to_owned(), entry);
         self.hosts.borrow_mut().clear();
         self.workspace_hosts.clear();
@@ -529,6 +533,7 @@
 
     /// Removes a member VM.
     pub fn remove_member(&self, member: &str) {
+        self.vanished_members.borrow_mut().remove(member);
         if self.members.borrow_mut().remove(member).is_some() {
             self.member_changes.set(self.member_changes.get() + 1);
             self.hosts.borrow_mut().clear();
--- a/src/node/rate_limits/bucket_holder.rs
+++ b/src/node/rate_limits/bucket_holder.rs
@@ -36,7 +36,7 @@
 
 impl Default for BucketHolder {
     fn default() -> Self {
-        let holder = rate_holder::RateHolder::new(limits::MEMBER_TTL);
+        let holder = rate_holder::RateHolder::new(limits::MEMBER_TTL, limits::STORE_RETURN_GRACE);
         Self {
             holder: cell::RefCell::new(holder),
             assigned: cell::RefCell::default(),
@@ -72,6 +72,7 @@
             granted: grant.granted,
             scale: grant.scale,
             retry_after_ms: u32::try_from(grant.retry_after.as_millis()).unwrap_or(u32::MAX),
+            unreplaced_ms: u32::try_from(grant.unreplaced_for.as_millis()).unwrap_or(u32::MAX),
         }
     }
 
@@ -172,9 +173,20 @@
         isolated: tables.isolation.is_isolated(),
         follows_peers: table_age <= limits::MEMBER_TTL,
         entry_vanished: !tables.is_member(&tables.vm),
+        place: tables.rate_limits.place.evidence(tables.edge.boot_time()),
+        may_take_over: tables.has_complete_list() || tables.rate_limits.place.may_take_over(),
     }
 }
 
+/// Returns whether this VM learns of a new holder in time: the store or another VM has told it recently
+/// who the members are, or nobody can have changed them.
+#[must_use]
+pub fn is_informed<E: edge::NodeEdge>(tables: &node_tables::NodeTables<E>) -> bool {
+    let now = tables.edge.boot_time();
+    let facts = facts(tables);
+    facts.reaches_store || facts.follows_peers || tables.rate_limits.place.knows_members(now)
+}
+
 /// Returns the limits of a workspace, if it has some.
 #[must_use]
 pub fn limit_of(
--- a/src/node/rate_limits/limit_frame.rs
+++ b/src/node/rate_limits/limit_frame.rs
@@ -47,6 +47,8 @@
         scale: f64,
         /// When to expect the next token.
         retry_after_ms: u32,
+        /// Time for which no other VM can grant from the bucket.
+        unreplaced_ms: u32,
     },
     /// The VM does not hold the bucket, or may not grant.
     NotValid,
--- a/src/node/rate_limits/limit_table.rs
+++ b/src/node/rate_limits/limit_table.rs
@@ -8,7 +8,7 @@
 
 use crate::decide::rate_limit;
 use crate::model::ids;
-use crate::node::rate_limits::{bucket_holder, holder_link, workspace_stock};
+use crate::node::rate_limits::{bucket_holder, holder_link, place_check, workspace_stock};
 use crate::node::{edge, node_log, node_tables};
 
 /// Tells a link to a holder that an ask is due.
@@ -23,6 +23,8 @@
     links: cell::RefCell<collections::BTreeMap<ids::VmId, rc::Rc<LinkSignal>>>,
     /// Buckets that this VM holds.
     pub holder: bucket_holder::BucketHolder,
+    /// What other VMs say of this VM's place among the members.
+    pub place: place_check::PlaceCheck,
     /// Changes of the members that the holders of the stocks reflect.
     members_seen: cell::Cell<u64>,
 }
@@ -86,12 +88,14 @@
         let now = tables.edge.boot_time();
         let config = tables.config();
         let members = tables.member_count();
+        let informed = bucket_holder::is_informed(tables);
         self.stocks.borrow_mut().retain(|workspace, stock| {
             let limit = bucket_holder::limit_of(config.as_deref(), workspace);
             limit.is_some_and(|limit| {
                 let mut tokens = stock.stock.borrow_mut();
                 tokens.set_limit(limit, now);
                 tokens.set_members(members);
+                tokens.set_informed(informed);
                 !tokens.is_unused(now)
             })
         });
--- a/src/node/rate_limits/workspace_stock.rs
+++ b/src/node/rate_limits/workspace_stock.rs
@@ -71,11 +71,13 @@
                 granted,
                 scale,
                 retry_after_ms,
+                unreplaced_ms,
             } => {
                 let grant = rate_limit::RateGrant {
                     granted,
                     scale,
                     retry_after: time::Duration::from_millis(u64::from(retry_after_ms)),
+                    unreplaced_for: time::Duration::from_millis(u64::from(unreplaced_ms)),
                 };
                 if self.stock.borrow_mut().record_grant(grant, now) {
                     node_log::info(
--- a/src/node/relay_caller.rs
+++ b/src/node/relay_caller.rs
@@ -9,7 +9,7 @@
 use crate::decide::admission_budget;
 use crate::link::{link_error, server, stream_kind};
 use crate::node::admission::{admission_limits, caller_account};
-use crate::node::rate_limits::bucket_holder;
+use crate::node::rate_limits::{bucket_holder, place_check};
 use crate::node::tables::table_server;
 use crate::node::workspaces::{caller_hello, workspace_binding};
 use crate::node::{
@@ -52,6 +52,9 @@
             stream_kind::StreamKind::Limits => {
                 tokio::task::spawn_local(bucket_holder::serve(rc::Rc::clone(&tables), stream));
             }
+            stream_kind::StreamKind::Place => {
+                tokio::task::spawn_local(place_check::serve(rc::Rc::clone(&tables), stream));
+            }
             stream_kind::StreamKind::Control => {
                 tokio::task::spawn_local(status::answer(rc::Rc::clone(&tables), stream));
             }
--- a/src/node/table_follower.rs
+++ b/src/node/table_follower.rs
@@ -7,7 +7,7 @@
 use tokio::time::Instant;
 
 use crate::model::ids;
-use crate::node::rate_limits::limit_task;
+use crate::node::rate_limits::{limit_task, place_check};
 use crate::node::tables::table_source;
 use crate::node::{
     claims, edge, era_revision, group, limits, monitor, node_log, node_tables, removal_reason,
@@ -17,6 +17,7 @@
 /// Keeps the tables up to date with the store as long as the node runs.
 pub async fn follow_store<E: edge::NodeEdge>(tables: rc::Rc<node_tables::NodeTables<E>>) {
     tokio::task::spawn_local(limit_task::run(rc::Rc::clone(&tables)));
+    tokio::task::spawn_local(place_check::run(rc::Rc::clone(&tables)));
     let mut follower = TableFollower {
         source: table_source::TableSource::new(rc::Rc::clone(&tables)),
         tables,
@@ -446,7 +447,13 @@
                 self.vanished.remove(&VanishedEntry::Member(vm.clone()));
                 self.tables.add_member(&vm, entry);
             }
-            edge::ControlChange::MemberGone(vm) => self.record_vanished(VanishedEntry::Member(vm)),
+            edge::ControlChange::MemberGone(vm) => {
+                if self.tables.is_member(&vm) {
+                    let mut vanished = self.tables.vanished_members.borrow_mut();
+                    vanished.insert(vm.clone());
+                }
+                self.record_vanished(VanishedEntry::Member(vm));
+            }
             edge::ControlChange::TermStart(group, start) => {
                 self.tables.group(&group).record_term_start(start);
             }
--- a/tests/node_rate_limits.rs
+++ b/tests/node_rate_limits.rs
@@ -202,6 +202,56 @@
     });
 }
 
+/// Sends reads at all VMs, and returns how many were served.
+async fn flood_all(nodes: &[support::TestNode], length: Duration) -> f64 {
+    let interval = Duration::from_millis(4);
+    let floods = nodes.iter().map(|node| flood(node, interval, length));
+    let served = futures::future::join_all(floods).await;
+    f64::from(served.iter().map(|(served, _)| served).sum::<u32>())
+}
+
+/// Guards against the failure of `review/8`: a holder that the store turns away grants on beside the VM that
+/// has taken its place.
+#[test]
+fn a_holder_that_the_store_turns_away_does_not_grant_beside_the_next_one() {
+    const BOUND: f64 = (RATE * 5.0 + 20.0) * 1.1 + 20.0;
+    support::block_on(async {
+        let nodes = start().await;
+        flood_all(&nodes, Duration::from_secs(6)).await;
+        let holder = &nodes[0].tables;
+        nodes[0]
+            .edge
+            .network
+            .cuts
+            .cut(&holder.vm, &CutTarget::Store);
+        let window = Duration::from_secs(5);
+        let served = flood_all(&nodes, Duration::from_secs(6)).await;
+        assert!(served <= BOUND * 6.0 / 5.0, "{served}");
+        nodes[0].edge.change(|state| state.leave(&holder.vm));
+        flood_all(&nodes, Duration::from_secs(2)).await;
+        for _window in 0..2 {
+            let served = flood_all(&nodes, window).await;
+            assert!(served <= BOUND, "{served}");
+            assert!(served >= RATE * 5.0 * 0.7, "{served}");
+        }
+    });
+}
+
+/// Guards against a workspace that is refused while the store is down for all VMs: nobody can take the
+/// place of the holder then.
+#[test]
+fn a_holder_grants_on_while_the_store_is_down_for_all() {
+    support::block_on(async {
+        let nodes = start().await;
+        flood_all(&nodes, Duration::from_secs(6)).await;
+        nodes[0].edge.change(|state| state.store_up = false);
+        nodes[0].sleep(Duration::from_secs(20)).await;
+        let served = flood_all(&nodes, Duration::from_secs(5)).await;
+        assert!(served >= RATE * 5.0 * 0.7, "{served}");
+        assert!(served <= (RATE * 5.0 + 20.0) * 1.1 + 20.0, "{served}");
+    });
+}
+
 /// Guards against limits that are not in force after they were lowered, raised or added.
 #[test]
 fn a_changed_limit_is_in_force() {
--- a/tests/rate_limit_model.rs
+++ b/tests/rate_limit_model.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use persimmontack::decide::ownership;
+use persimmontack::decide::place_evidence::{self, PlaceEvidence, PlaceView};
 use persimmontack::decide::rate_holder::{HolderFacts, RateHolder};
 use persimmontack::decide::rate_limit::{RateAsk, RateGrant, RateLimit};
 use persimmontack::decide::rate_stock::{RateStock, RefusalCause, StockTake};
@@ -34,6 +35,10 @@
     HolderLeaves,
     CutOff,
     HolderCutOff,
+    /// The store turns the holder away and serves the others.
+    HolderTurnedAway,
+    /// The store turns the holder and some others away.
+    SomeTurnedAway,
     StoreDown,
     AllRestart,
     Lowered,
@@ -41,7 +46,7 @@
     Joins,
 }
 
-const FAILURES: [Failure; 12] = [
+const FAILURES: [Failure; 14] = [
     Failure::Nothing,
     Failure::HolderDies,
     Failure::HolderRestarts,
@@ -49,6 +54,8 @@
     Failure::HolderLeaves,
     Failure::CutOff,
     Failure::HolderCutOff,
+    Failure::HolderTurnedAway,
+    Failure::SomeTurnedAway,
     Failure::StoreDown,
     Failure::AllRestart,
     Failure::Lowered,
@@ -72,6 +79,14 @@
     stock: RateStock,
     holder: RateHolder,
     renewed_at: Option<u64>,
+    /// Since when the VM has followed the members.
+    started_at: Option<u64>,
+    /// What the others said of its place when it last asked.
+    place: PlaceEvidence,
+    knows_members: bool,
+    may_take_over: bool,
+    /// When the store last answered it.
+    answered_at: u64,
     /// Whether the store lists the VM, and since when.
     listed: (bool, u64),
     asked: Option<(u64, u64)>,
@@ -113,6 +128,8 @@
     answer_delay: u64,
     /// Factor on the demand from the first failure on.
     surge: f64,
+    /// When the VMs that are left out join.
+    joins_at: Option<u64>,
 }
 
 fn ms(value: u64) -> Duration {
@@ -150,8 +167,13 @@
                 members: (0..count).collect(),
                 holder_vm: 0,
                 stock: RateStock::new(limit, ms(0)),
-                holder: RateHolder::new(ms(ENTRY_TTL)),
+                holder: RateHolder::new(ms(ENTRY_TTL), ms(VANISH_GRACE)),
                 renewed_at: Some(0),
+                started_at: None,
+                place: PlaceEvidence::Unknown,
+                knows_members: false,
+                may_take_over: true,
+                answered_at: 0,
                 listed: (true, 0),
                 asked: None,
                 waiting: Vec::new(),
@@ -170,6 +192,7 @@
             refused: Vec::new(),
             answer_delay: 0,
             surge: 1.0,
+            joins_at: None,
         };
         for vm in 0..count {
             model.vms[vm].holder_vm = model.holder_in_view(vm);
@@ -264,9 +287,48 @@
             isolated: vm.cut_since.is_some_and(|since| self.now > since + 700),
             follows_peers: false,
             entry_vanished: false,
+            place: vm.place,
+            may_take_over: vm.may_take_over || self.is_established(vm),
         }
     }
 
+    fn is_established(&self, vm: &ModelVm) -> bool {
+        vm.started_at.is_none_or(|at| self.now >= at + VANISH_GRACE)
+    }
+
+    /// Asks the others for the place of a VM, as the node does.
+    fn check_place(&mut self, vm: usize) {
+        let known = self.vms[vm].members.clone();
+        let (listed, since) = self.vms[vm].listed;
+        let views: Vec<_> = known
+            .iter()
+            .filter(|other| **other != vm)
+            .map(|other| {
+                let answers = self.runs(*other) && self.vms[*other].side == self.vms[vm].side;
+                let other = &self.vms[*other];
+                let reaches_store = other.reaches_store && self.store_up;
+                answers.then(|| PlaceView {
+                    reaches_store,
+                    lists_caller: other.members.contains(&vm),
+                    entry_vanished: reaches_store && !listed && self.now >= since + other.skew,
+                    established: self.is_established(other),
+                    same_members: other.members == known,
+                })
+            })
+            .collect();
+        self.vms[vm].place = PlaceEvidence::judge(&views);
+        self.vms[vm].knows_members = place_evidence::knows_members(&views);
+        self.vms[vm].may_take_over |= place_evidence::may_take_over(&views);
+    }
+
+    /// Returns whether a VM learns of a new holder.
+    fn is_informed(&self, vm: usize) -> bool {
+        let facts = self.facts(vm);
+        let vm = &self.vms[vm];
+        let recent = self.now < vm.answered_at + ENTRY_TTL;
+        facts.reaches_store || recent || vm.knows_members
+    }
+
     fn record_run(&mut self, vm: usize) {
         let now = self.now;
         let suspended = self.vms[vm].holder.record_run(ms(now)).is_some();
@@ -329,6 +391,7 @@
         if !self.vms[vm].reaches_store || !self.store_up {
             return;
         }
+        self.vms[vm].answered_at = now;
         let due = self
             .limits
             .iter()
@@ -366,6 +429,14 @@
                 self.renew(vm);
             }
             self.follow_store(vm);
+            let lacks_store = !self.vms[vm].reaches_store || !self.store_up;
+            let starts = !self.is_established(&self.vms[vm]) && !self.vms[vm].may_take_over;
+            if starts || (lacks_store && now.is_multiple_of(500)) {
+                self.check_place(vm);
+            } else if !lacks_store {
+                self.vms[vm].place = PlaceEvidence::Unknown;
+            }
+            let informed = self.is_informed(vm);
             let facts = self.facts(vm);
             let holder = self.holder_in_view(vm);
             let state = &mut self.vms[vm];
@@ -374,6 +445,7 @@
                 .holder
                 .update(&limits, |_name| holder == vm, facts, ms(now));
             state.stock.set_limit(state.limit, ms(now));
+            state.stock.set_informed(informed);
             if holder != state.holder_vm {
                 state.holder_vm = holder;
                 state.asked = None;
@@ -470,15 +542,23 @@
         let state = &mut self.vms[vm];
         state.up = true;
         state.stock = RateStock::new(state.limit, now);
-        state.holder = RateHolder::new(ms(ENTRY_TTL));
+        state.holder = RateHolder::new(ms(ENTRY_TTL), ms(VANISH_GRACE));
         state.asked = None;
         state.renewed_at = None;
+        state.started_at = Some(self.now);
+        state.may_take_over = false;
+        state.place = PlaceEvidence::Unknown;
+        if self.store_up && self.vms[vm].reaches_store {
+            // The first listing lacks an entry that has just vanished, which the others still keep.
+            let listed = (0..self.vms.len()).filter(|other| self.vms[*other].listed.0);
+            self.vms[vm].members = listed.collect();
+        }
         self.renew(vm);
     }
 
     fn begin(&mut self, failure: Failure) {
         let now = self.now;
-        let holder = self.vms[0].holder_vm;
+        let holder = self.holder();
         match failure {
             Failure::Nothing | Failure::Joins => {}
             Failure::HolderDies | Failure::HolderRestarts => self.kill(holder),
@@ -501,6 +581,13 @@
                     }
                 }
             }
+            Failure::HolderTurnedAway => self.vms[holder].reaches_store = false,
+            Failure::SomeTurnedAway => {
+                for vm in 0..self.vms.len() {
+                    let away = vm == holder || self.random.random::<f64>() < 0.3;
+                    self.vms[vm].reaches_store = !away;
+                }
+            }
             Failure::StoreDown => self.store_up = false,
             Failure::AllRestart => (0..self.vms.len()).for_each(|vm| self.kill(vm)),
             Failure::Lowered => self.change_limit(0.2),
@@ -537,19 +624,31 @@
             events.push((at + length, false, *failure));
             at += length + 6_000;
         }
-        let joins = failures.contains(&Failure::Joins);
-        let joiner = self.vms[0].holder_vm;
-        if joins {
-            self.vms[joiner].up = false;
-            self.vms[joiner].renewed_at = None;
-            self.vms[joiner].listed = (false, 0);
-            for vm in 0..self.vms.len() {
-                self.vms[vm].members.remove(&joiner);
-            }
+        if failures.contains(&Failure::Joins) {
+            self.leave_out_a_joiner();
         }
         self.run_events(&events, DAY);
     }
 
+    /// Returns the holder in the view of the first VM that runs.
+    fn holder(&self) -> usize {
+        let running = self.vms.iter().find(|vm| vm.up);
+        running.map_or(0, |vm| vm.holder_vm)
+    }
+
+    /// Leaves out the holder until it joins, and returns it.
+    fn leave_out_a_joiner(&mut self) -> usize {
+        let joiner = self.vms[0].holder_vm;
+        self.vms[joiner].up = false;
+        self.vms[joiner].renewed_at = None;
+        self.vms[joiner].listed = (false, 0);
+        for vm in 0..self.vms.len() {
+            self.vms[vm].members.remove(&joiner);
+            self.vms[vm].holder_vm = self.holder_in_view(vm);
+        }
+        joiner
+    }
+
     fn run_events(&mut self, events: &[(u64, bool, Failure)], end: u64) {
         while self.now < end {
             for (at, begins, failure) in events {
@@ -563,6 +662,13 @@
                     }
                 }
             }
+            if self.joins_at == Some(self.now) {
+                (0..self.vms.len())
+                    .filter(|vm| !self.vms[*vm].up)
+                    .collect::<Vec<_>>()
+                    .into_iter()
+                    .for_each(|vm| self.start(vm));
+            }
             self.expire_entries();
             self.deliver();
             for vm in 0..self.vms.len() {
@@ -631,6 +737,47 @@
     assert!(broken.is_empty(), "{}", broken.join("\n"));
 }
 
+/// Guards against the failure of `review/8`: while the store turns the holder away, alone or with other VMs,
+/// for longer than its entry lasts, another VM takes over and both grant; also when a VM joins or the new
+/// holder dies meanwhile.
+#[test]
+fn a_holder_without_the_store_does_not_grant_beside_a_new_one() {
+    const AWAY: u64 = 14_000;
+    let mut broken = Vec::new();
+    for seed in 0..10 {
+        for away in [Failure::HolderTurnedAway, Failure::SomeTurnedAway] {
+            for other in [
+                Failure::Nothing,
+                Failure::Joins,
+                Failure::HolderDies,
+                Failure::StoreDown,
+            ] {
+                let load = [7.5, 2.5][seed as usize % 2];
+                let mut model = RateModel::new(seed, random_limit(seed), load);
+                let begin = 9_000 + seed * 170;
+                let length = 1_000 + seed * 900;
+                let mut events = vec![(begin, true, away)];
+                if other == Failure::Joins {
+                    model.leave_out_a_joiner();
+                    model.joins_at = Some(begin + 4_000 + seed * 600);
+                } else {
+                    events.push((begin + length, true, other));
+                }
+                events.push((begin + AWAY, false, away));
+                model.run_events(&events, begin + AWAY + 12_000);
+                if let Some(excess) = model.excess() {
+                    let vms = model.vms.len();
+                    let limit = random_limit(seed);
+                    broken.push(format!(
+                        "seed {seed} {away:?} {other:?} load {load} {limit:?} {vms} VMs: {excess}"
+                    ));
+                }
+            }
+        }
+    }
+    assert!(broken.is_empty(), "{}", broken.join("\n"));
+}
+
 /// Guards against VMs that spend at the same time what a workspace far below its limit left, when
 /// its demand rises as a failure begins.
 #[test]
--- a/tests/rate_limits.rs
+++ b/tests/rate_limits.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use persimmontack::decide::place_evidence::{self, PlaceEvidence, PlaceView};
 use persimmontack::decide::rate_bucket::{GrantMode, RateBucket};
 use persimmontack::decide::rate_holder::{self, HolderFacts, RateHolder};
 use persimmontack::decide::rate_limit::{self, RateAsk, RateGrant, RateLimit};
@@ -28,6 +29,7 @@
         granted,
         scale: 1.0,
         retry_after: ms(100),
+        unreplaced_for: ms(9_000),
     }
 }
 
@@ -228,12 +230,14 @@
         isolated: false,
         follows_peers: false,
         entry_vanished: false,
+        place: PlaceEvidence::Unknown,
+        may_take_over: true,
     }
 }
 
 /// Returns a VM that has held the bucket of `w` for long enough to grant, at 2 s.
 fn ready_holder() -> RateHolder {
-    let mut holder = RateHolder::new(ms(6_000));
+    let mut holder = RateHolder::new(ms(6_000), ms(2_500));
     let limits = BTreeMap::from([("w".to_owned(), LIMIT)]);
     holder.record_run(ms(0));
     holder.update(&limits, |_name| true, facts(0), ms(0));
@@ -288,3 +292,148 @@
         "workspaces that are not listed are dropped"
     );
 }
+
+/// Returns the facts of a VM that the store does not answer.
+fn turned_away(place: PlaceEvidence) -> HolderFacts {
+    HolderFacts {
+        reaches_store: false,
+        place,
+        ..facts(0)
+    }
+}
+
+/// Guards against the failure of `review/8`: a holder that the store turns away grants on beside the VM that
+/// has taken its place.
+#[test]
+fn a_holder_grants_no_longer_than_the_others_keep_its_entry() {
+    let grant = |place, now| {
+        let mut holder = ready_holder();
+        for step in 21..now / 100 {
+            holder.record_run(ms(step * 100));
+        }
+        holder.grant("vm-1", "w", LIMIT, ask(2, 9.0), turned_away(place), ms(now))
+    };
+    assert!(grant(PlaceEvidence::Unknown, 7_900).is_some());
+    assert_eq!(grant(PlaceEvidence::Unknown, 8_000), None);
+    assert_eq!(grant(PlaceEvidence::Lost, 6_000), None);
+    assert!(grant(PlaceEvidence::Kept, 60_000).is_some());
+    let cut_off = HolderFacts {
+        isolated: true,
+        ..turned_away(PlaceEvidence::Kept)
+    };
+    let late = ready_holder().grant("vm-1", "w", LIMIT, ask(2, 9.0), cut_off, ms(8_000));
+    assert_eq!(late, None);
+}
+
+/// Guards against a VM that reaches neither the store nor the holder, and spends beside a new holder that
+/// it does not know of.
+#[test]
+fn a_vm_that_learns_nothing_of_the_members_stops_before_a_new_holder_grants() {
+    let mut holder = ready_holder();
+    let grant = holder.grant("vm-1", "w", LIMIT, ask(9, 9.0), facts(0), ms(2_000));
+    let grant = grant.expect("a grant");
+    assert_eq!(grant.unreplaced_for, ms(6_500));
+    let mut stock = RateStock::new(LIMIT, ms(0));
+    for now in (0..2_000).step_by(50) {
+        stock.record_arrival(ms(now));
+        if let Some(ask) = stock.ask(1, ms(now)) {
+            stock.record_grant(granted(ask.wanted), ms(now));
+        }
+        assert!(matches!(stock.take(ms(now)), StockTake::Token(_)));
+    }
+    assert!(stock.ask(9, ms(2_000)).is_some());
+    stock.record_grant(grant, ms(2_000));
+    stock.set_informed(false);
+    assert!(stock.ask(9, ms(2_400)).is_some());
+    stock.record_failure(RefusalCause::HolderUnreachable, true, 0.5, ms(2_400));
+    let admitted = |stock: &mut RateStock, from: u64| {
+        let times = (from..from + 2_000).step_by(5);
+        times
+            .filter(|now| matches!(stock.take(ms(*now)), StockTake::Token(_)))
+            .count()
+    };
+    assert!(admitted(&mut stock, 6_400) > 0);
+    assert_eq!(admitted(&mut stock, 8_500), 0);
+    stock.set_informed(true);
+    assert!(admitted(&mut stock, 9_500) > 0);
+}
+
+/// Guards against a VM that has just started and takes a bucket over which the others still ask another VM
+/// for, whose entry has just vanished.
+#[test]
+fn a_vm_that_has_just_started_takes_over_only_what_nobody_holds() {
+    let limits = BTreeMap::from([("w".to_owned(), LIMIT)]);
+    let started = HolderFacts {
+        may_take_over: false,
+        ..facts(0)
+    };
+    let mut holder = RateHolder::new(ms(6_000), ms(2_500));
+    assert!(
+        holder
+            .update(&limits, |_name| true, started, ms(100))
+            .is_empty()
+    );
+    assert_eq!(
+        holder
+            .update(&limits, |_name| true, facts(0), ms(200))
+            .len(),
+        1
+    );
+}
+
+fn view(reaches_store: bool, lists_caller: bool) -> Option<PlaceView> {
+    Some(PlaceView {
+        reaches_store,
+        lists_caller,
+        entry_vanished: false,
+        established: true,
+        same_members: lists_caller,
+    })
+}
+
+/// Guards against a holder that takes silence for the news that nobody has taken its place.
+#[test]
+fn the_place_is_kept_only_if_an_informed_vm_says_so_or_all_lack_the_store() {
+    let judge = PlaceEvidence::judge;
+    assert_eq!(judge(&[view(true, true), None]), PlaceEvidence::Kept);
+    assert_eq!(
+        judge(&[view(true, true), view(true, false)]),
+        PlaceEvidence::Lost
+    );
+    assert_eq!(
+        judge(&[view(false, true), view(false, true)]),
+        PlaceEvidence::Kept
+    );
+    assert_eq!(judge(&[view(false, true), None]), PlaceEvidence::Unknown);
+    assert_eq!(
+        judge(&[view(false, true), view(false, false)]),
+        PlaceEvidence::Lost
+    );
+    assert_eq!(judge(&[]), PlaceEvidence::Unknown);
+    let vanished = view(true, true).map(|view| PlaceView {
+        entry_vanished: true,
+        ..view
+    });
+    assert_eq!(judge(&[view(true, true), vanished]), PlaceEvidence::Unknown);
+    assert!(place_evidence::knows_members(&[view(true, true), None]));
+    assert!(!place_evidence::knows_members(&[
+        view(true, false),
+        view(false, true)
+    ]));
+    assert!(place_evidence::knows_members(&[view(false, true)]));
+    let starting = PlaceView {
+        reaches_store: true,
+        lists_caller: true,
+        entry_vanished: false,
+        established: false,
+        same_members: false,
+    };
+    assert!(place_evidence::may_take_over(&[Some(starting), None]));
+    assert!(place_evidence::may_take_over(&[view(true, true)]));
+    assert!(!place_evidence::may_take_over(&[
+        view(true, false),
+        Some(starting)
+    ]));
+    assert!(!place_evidence::may_take_over(&[None]));
+    assert!(place_evidence::may_take_over(&[]));
+}
