Keep a primary that answers again while a decision waits for a list

Callers would have lost the time of a needless promotion. The other wait of the same loop already looks for that; both now use one function.

a_primary_that_answers_again_during_the_wait_for_a_list_is_kept fails without the check (c is promoted).

--- a/src/node/decision.rs
+++ b/src/node/decision.rs
@@ -177,6 +177,7 @@
                 let received = candidates.iter().filter_map(|one| one.received).max();
                 if !has_current_list && !self.hosts.suffices_without_list(self.group, received) {
                     self.log_step(&choice, &candidates, head);
+                    self.check_kept(old, stalled)?;
                     self.tables.refresh.notify_one();
                     self.pause(|| "the list is not up to date".to_owned())
                         .await?;
@@ -205,12 +206,7 @@
                 }
                 promotion::PromotionChoice::Await(upstream)
                 | promotion::PromotionChoice::CatchUp(upstream, _) => {
-                    if let Some(kept) = old
-                        && !stalled
-                        && self.tables.has_primary(self.group)
-                    {
-                        return Err(DecisionEnd::Kept(kept));
-                    }
+                    self.check_kept(old, stalled)?;
                     self.pause(|| format!("{upstream} is missing or behind"))
                         .await?;
                 }
@@ -218,6 +214,16 @@
         }
     }
 
+    /// Fails with the end of the decision if the primary answers again while the decision waits.
+    fn check_kept(&self, old: Option<ids::UpstreamId>, stalled: bool) -> Result<(), DecisionEnd> {
+        match old {
+            Some(kept) if !stalled && self.tables.has_primary(self.group) => {
+                Err(DecisionEnd::Kept(kept))
+            }
+            _ => Ok(()),
+        }
+    }
+
     /// Returns what is known about the commits that a successor must hold.
     fn evidence(&self) -> log_evidence::LogEvidence {
         self.hosts.evidence(self.group)
--- a/tests/node_joining_upstreams.rs
+++ b/tests/node_joining_upstreams.rs
@@ -216,3 +216,23 @@
         writes.check(&edge);
     });
 }
+
+/// Guards against the replacement of a primary that answers again while a decision waits for a list.
+#[test]
+fn a_primary_that_answers_again_during_the_wait_for_a_list_is_kept() {
+    support::block_on(async {
+        let edge = support::cluster(22);
+        let first = start(&edge, 1, "dc-b", 1).await;
+        let _second = start(&edge, 2, "dc-a", 2).await;
+        first.sleep(SETTLED_AFTER).await;
+        cut(&edge, "vm-1", &[CutTarget::Vm("vm-2".to_owned())]);
+        edge.change(|state| {
+            state.store_up = false;
+            state.instance("a").up = false;
+        });
+        first.sleep(Duration::from_millis(1_500)).await;
+        edge.change(|state| state.instance("a").up = true);
+        first.sleep(LOOK_TIME * 2).await;
+        assert!(first.promotions().is_empty(), "{:?}", first.promotions());
+    });
+}
