Ask other VMs through one function

The place check is the fourth caller that opens a stream to another VM, sends nothing or one message and awaits one reply. PeerTable now has ask and exchange for that. Behaviour is unchanged; the node_* tests pass.

--- a/src/node/isolation.rs
+++ b/src/node/isolation.rs
@@ -223,13 +223,8 @@
     tables: &node_tables::NodeTables<E>,
     host: &str,
 ) -> Result<bool, String> {
-    let client = tables.peers.connect(tables, host).await?;
-    let (mut writer, mut reader) = client
-        .open(stream_kind::StreamKind::Reach)
-        .await
-        .map_err(|error| error.to_string())?;
-    writer.finish().map_err(|error| error.to_string())?;
-    reader.expect().await.map_err(|error| error.to_string())
+    let kind = stream_kind::StreamKind::Reach;
+    tables.peers.ask(tables, host, kind).await
 }
 
 /// Answers another VM's query whether this one is connected to other data centres.
--- a/src/node/notices.rs
+++ b/src/node/notices.rs
@@ -102,16 +102,8 @@
     host: &str,
     notice: &primary_change::ChangeNotice,
 ) -> Result<NoticeReply, String> {
-    let client = tables.peers.connect(tables, host).await?;
-    let (mut writer, mut reader) = client
-        .open(stream_kind::StreamKind::Lead)
-        .await
-        .map_err(|error| error.to_string())?;
-    writer
-        .send_last(notice)
-        .await
-        .map_err(|error| error.to_string())?;
-    reader.expect().await.map_err(|error| error.to_string())
+    let kind = stream_kind::StreamKind::Lead;
+    tables.peers.exchange(tables, host, kind, notice).await
 }
 
 /// Records a decision of another VM, and replies with what this VM knows.
--- a/src/node/peer_list.rs
+++ b/src/node/peer_list.rs
@@ -109,16 +109,8 @@
     host: &str,
     group: &ids::GroupId,
 ) -> Result<GroupReport, String> {
-    let client = tables.peers.connect(tables, host).await?;
-    let (mut writer, mut reader) = client
-        .open(stream_kind::StreamKind::Group)
-        .await
-        .map_err(|error| error.to_string())?;
-    writer
-        .send_last(group)
-        .await
-        .map_err(|error| error.to_string())?;
-    reader.expect().await.map_err(|error| error.to_string())
+    let kind = stream_kind::StreamKind::Group;
+    tables.peers.exchange(tables, host, kind, group).await
 }
 
 /// Answers another VM's question about a group.
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -5,10 +5,12 @@
 use std::net;
 use std::rc;
 
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 use tokio::sync;
 use tokio::time::Instant;
 
-use crate::link::{client, hello};
+use crate::link::{client, frame_reader, frame_writer, hello, stream_kind};
 use crate::model::ids;
 use crate::node::{edge, limits, node_log, node_tables};
 
@@ -96,6 +98,51 @@
         }
     }
 
+    /// Opens a stream of a kind that carries no question, and returns the reply of a VM.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the VM cannot be reached or does not reply.
+    pub async fn ask<E: edge::NodeEdge, R: DeserializeOwned>(
+        &self,
+        tables: &node_tables::NodeTables<E>,
+        vm: &str,
+        kind: stream_kind::StreamKind,
+    ) -> Result<R, String> {
+        let (mut writer, mut reader) = self.open(tables, vm, kind).await?;
+        writer.finish().map_err(|error| error.to_string())?;
+        reader.expect().await.map_err(|error| error.to_string())
+    }
+
+    /// Sends one message to a VM, and returns its reply.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the VM cannot be reached or does not reply.
+    pub async fn exchange<E: edge::NodeEdge, R: DeserializeOwned>(
+        &self,
+        tables: &node_tables::NodeTables<E>,
+        vm: &str,
+        kind: stream_kind::StreamKind,
+        message: &impl Serialize,
+    ) -> Result<R, String> {
+        let (mut writer, mut reader) = self.open(tables, vm, kind).await?;
+        let sent = writer.send_last(message).await;
+        sent.map_err(|error| error.to_string())?;
+        reader.expect().await.map_err(|error| error.to_string())
+    }
+
+    async fn open<E: edge::NodeEdge>(
+        &self,
+        tables: &node_tables::NodeTables<E>,
+        vm: &str,
+        kind: stream_kind::StreamKind,
+    ) -> Result<(frame_writer::FrameWriter, frame_reader::FrameReader), String> {
+        let client = self.connect(tables, vm).await?;
+        let stream = client.open(kind).await;
+        stream.map_err(|error| error.to_string())
+    }
+
     /// Returns whether the last attempt to reach a VM failed and no other one may be made yet, or one
     /// is being made.
     #[must_use]
--- a/src/node/rate_limits/place_check.rs
+++ b/src/node/rate_limits/place_check.rs
@@ -154,13 +154,8 @@
     tables: &node_tables::NodeTables<E>,
     vm: &str,
 ) -> Result<PlaceReport, String> {
-    let client = tables.peers.connect(tables, vm).await?;
-    let (mut writer, mut reader) = client
-        .open(stream_kind::StreamKind::Place)
-        .await
-        .map_err(|error| error.to_string())?;
-    writer.finish().map_err(|error| error.to_string())?;
-    reader.expect().await.map_err(|error| error.to_string())
+    let kind = stream_kind::StreamKind::Place;
+    tables.peers.ask(tables, vm, kind).await
 }
 
 /// Answers another VM that asks for its place.
