Let the test of keys in log lines stand on its own lines

Its own transaction had expired after 3 s, since the test lets 6 s pass, and its next statement arrived in the same moment as the configuration without the key. A failure left the logger poisoned, so that other tests of the file failed with it.

The transaction now begins after that time, and its next statement comes 0.1 s after the configuration. What is expected of the lines is unchanged.

--- a/tests/node_workspaces.rs
+++ b/tests/node_workspaces.rs
@@ -323,7 +323,6 @@
     log::set_max_level(log::LevelFilter::Trace);
     run(|node| async move {
         let mut caller = open(&node, support::LATEST, "s3cret").await;
-        begin_write(&mut caller).await;
         node.edge.change(|state| state.store_up = false);
         node.sleep(limits::CONFIG_APPLY_LIMIT * 2).await;
         refusal(&node, support::LATEST, "s3cret-2").await;
@@ -331,7 +330,11 @@
         let mut without_database = connect(&node, "s3cret", "");
         let refused = without_database.reply().await;
         assert!(!format!("{refused:?}").contains("s3cret"));
+        // It must not be open for longer than a transaction may be idle.
+        begin_write(&mut caller).await;
         node.tables.apply_config(config(3, &[]));
+        // The session ends the transaction before its next statement arrives.
+        node.sleep(Duration::from_millis(100)).await;
         commit(&mut caller).await;
         let debug = format!("{:?} {:?}", node.tables, config(2, &[("s3cret", "w1")]));
         assert!(!debug.contains("s3cret"));
