--- a/src/node/limits.rs
+++ b/src/node/limits.rs
@@ -114,7 +114,7 @@
 pub const UNPROVED_REFUSAL: Duration = Duration::from_millis(500);
 /// Timeout for the other hosts of a group to confirm the notice of a decision.
 pub const NOTICE_TIMEOUT: Duration = Duration::from_millis(100);
-/// Time within which the tables have to reflect the store as of the number of a decision.
+/// Time for which a decision waits for a list that the store gives after the replies of the hosts.
 pub const LIST_TIMEOUT: Duration = Duration::from_millis(800);
 /// Time between two answers of the store after which it may have been unavailable.
 pub const STORE_OUTAGE_GAP: Duration = Duration::from_millis(1_000);
