Log from whom a configuration came, and how old the knowledge before it was

config_in_force had neither, so a line of a late version could not tell a follower that answered with old knowledge from a VM that asked nobody who had the version, or from one that was starved. It has from=, hops= and age_before_ms= now, refusals with no_database have config= and config_age_ms=, and persimmontack_table_hops counts the VMs on the way.

--- a/src/node/gauges.rs
+++ b/src/node/gauges.rs
@@ -9,8 +9,8 @@
     metrics::gauge!("persimmontack_sessions").set(f64::from(tables.sessions.get()));
     let caller_bytes = u64::try_from(tables.admission.used()).unwrap_or(u64::MAX);
     metrics::gauge!("persimmontack_caller_bytes").set(node_tables::u64_gauge(caller_bytes));
-    let list_age = tables.isolation.store_answer_age(tables.edge.boot_time());
-    metrics::gauge!("persimmontack_list_age_seconds").set(list_age.as_secs_f64());
+    let age = tables.config_age();
+    metrics::gauge!("persimmontack_list_age_seconds").set(age.as_secs_f64());
     let revision = era_revision::EraRevision::from_number(tables.revision.get());
     metrics::gauge!("persimmontack_store_era").set(node_tables::u64_gauge(revision.era));
     metrics::gauge!("persimmontack_members").set(f64::from(tables.member_count()));
--- a/src/node/node_tables.rs
+++ b/src/node/node_tables.rs
@@ -12,7 +12,7 @@
 use crate::model::ids;
 use crate::node::admission::admission_control;
 use crate::node::connections::workspace_hosts;
-use crate::node::tables::{store_image, table_source};
+use crate::node::tables::{store_image, table_origin, table_source};
 use crate::node::{
     config, edge, group, hosts, isolation, limits, member, monitor, node_log, peers, pool,
     rate_limits, removal_reason, removed_upstreams, upstream_entry,
@@ -88,6 +88,8 @@
     pub refresh: Notify,
     /// What the store had when it was last heard of, for other VMs.
     pub store_image: store_image::SharedImage,
+    /// From whom this VM has its tables.
+    pub table_origin: cell::RefCell<table_origin::TableOrigin>,
     /// Notified when the store was restored from a copy.
     pub restored: Notify,
     /// Revision of the store that the tables reflect.
@@ -134,6 +136,7 @@
             drain_limit: cell::Cell::new(limits::DRAIN_LIMIT),
             refresh: Notify::new(),
             store_image: store_image::SharedImage::default(),
+            table_origin: cell::RefCell::default(),
             restored: Notify::new(),
             revision: cell::Cell::default(),
             listed_since: cell::Cell::default(),
@@ -159,6 +162,13 @@
         self.config.borrow().clone()
     }
 
+    /// Returns the time since the call to the store began, of this VM or another one, that last showed
+    /// that no newer configuration is acknowledged.
+    #[must_use]
+    pub fn config_age(&self) -> time::Duration {
+        self.isolation.store_answer_age(self.edge.boot_time())
+    }
+
     /// Applies a configuration if it is newer than the one in force. Returns whether it was
     /// applied.
     pub fn apply_config(&self, config: config::NodeConfig) -> bool {
@@ -166,12 +176,16 @@
         if self.config.borrow().is_some() && config.version <= current {
             return false;
         }
+        let origin = self.table_origin.borrow();
         node_log::info(
             "config_in_force",
             &[
                 ("version", &config.version),
                 ("before", &current),
                 ("routes", &config.routes.len()),
+                ("from", &*origin),
+                ("hops", &origin.hops),
+                ("age_before_ms", &self.config_age().as_millis()),
             ],
         );
         metrics::gauge!("persimmontack_config_version").set(u64_gauge(config.version));
--- a/src/node/request_report.rs
+++ b/src/node/request_report.rs
@@ -142,11 +142,13 @@
 }
 
 /// Logs a request to a database that the configuration no longer has.
-pub fn log_no_database(
+pub fn log_no_database<E: edge::NodeEdge>(
+    tables: &node_tables::NodeTables<E>,
     request: &request::CallerRequest,
     database: &str,
     workspace: &workspace_binding::WorkspaceBinding,
 ) {
+    let version = tables.config().map_or(0, |config| config.version);
     node_log::warn(
         "request_refused",
         &[
@@ -154,6 +156,8 @@
             ("database", &database),
             ("workspace", workspace),
             ("reason", &"no_database"),
+            ("config", &version),
+            ("config_age_ms", &tables.config_age().as_millis()),
         ],
     );
 }
--- a/src/node/session.rs
+++ b/src/node/session.rs
@@ -571,7 +571,7 @@
     }
 
     fn no_database(&self, request: &request::CallerRequest) -> answers::CallerAnswer {
-        request_report::log_no_database(request, &self.database, self.key.binding());
+        request_report::log_no_database(&self.tables, request, &self.database, self.key.binding());
         let code = answers::ErrorCode::NoDatabase;
         answers::CallerAnswer::error(code, self.database.clone(), self.transaction_state())
     }
--- a/src/node/session_start.rs
+++ b/src/node/session_start.rs
@@ -27,7 +27,14 @@
     };
     if !config.routes.contains_key(&database) {
         // A caller that leaves out the database sends its key in this place.
-        report_refused(&[("database_bytes", &database.len())], &"no_database");
+        report_refused(
+            &[
+                ("database_bytes", &database.len()),
+                ("config", &config.version),
+                ("config_age_ms", &tables.config_age().as_millis()),
+            ],
+            &"no_database",
+        );
         let text = "no route has the database";
         let error = answers::StatementError::new(answers::ErrorCode::NoDatabase, text);
         return link.reject(&error).await;
@@ -56,7 +63,7 @@
     version: config::ConfigVersion,
     refusal: key_refusal::KeyRefusal,
 ) {
-    let age = tables.isolation.store_answer_age(tables.edge.boot_time());
+    let age = tables.config_age();
     let age_ms = age.as_millis();
     let mut pairs: Vec<(&str, event::EventValue<'_>)> =
         vec![("database", &database), ("config", &version)];
--- a/src/node/table_follower.rs
+++ b/src/node/table_follower.rs
@@ -8,7 +8,7 @@
 
 use crate::model::ids;
 use crate::node::rate_limits::{limit_task, place_check};
-use crate::node::tables::table_source;
+use crate::node::tables::{table_origin, table_source};
 use crate::node::{
     claims, edge, era_revision, group, limits, monitor, node_log, node_tables, removal_reason,
     stop, watch_schedule,
@@ -30,6 +30,7 @@
         let began_at = follower.tables.edge.boot_time();
         match follower.tables.edge.read_all().await {
             Ok(all) => {
+                follower.record_origin(table_origin::TableOrigin::default());
                 follower.record_store_answer(all.changes.len());
                 follower.check_restore(all.revision);
                 follower.replace(&all, began_at);
@@ -124,6 +125,7 @@
             };
             match result {
                 Ok(changes) => {
+                    self.record_origin(table_origin::TableOrigin::default());
                     self.record_store_answer(changes.changes.len());
                     self.store_asked = None;
                     revision = changes.revision.max(revision);
@@ -213,6 +215,10 @@
             return FollowOutcome::ReadAll;
         }
         *revision = answer.changes.revision.max(*revision);
+        self.record_origin(table_origin::TableOrigin {
+            vm: Some(follower.to_owned()),
+            hops: answer.hops,
+        });
         if answer.is_listing {
             self.replace(&answer.changes, answer.began_at);
         } else {
@@ -241,6 +247,11 @@
         }
     }
 
+    fn record_origin(&self, origin: table_origin::TableOrigin) {
+        metrics::gauge!("persimmontack_table_hops").set(f64::from(origin.hops));
+        *self.tables.table_origin.borrow_mut() = origin;
+    }
+
     /// Records that the tables reflect a revision, as read by a call that began at `began_at`.
     fn record_revision(&mut self, revision: edge::RevisionNumber, began_at: time::Duration) {
         self.tables.revision.set(revision);
--- a/src/node/tables/mod.rs
+++ b/src/node/tables/mod.rs
@@ -3,5 +3,6 @@
 
 pub mod store_image;
 pub mod table_frame;
+pub mod table_origin;
 pub mod table_server;
 pub mod table_source;
--- a/src/node/tables/table_frame.rs
+++ b/src/node/tables/table_frame.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::node::tables::table_origin;
 use crate::node::{config, edge};
 
 /// Asks a follower for the changes after a revision.
@@ -37,4 +38,6 @@
     pub revision: edge::RevisionNumber,
     /// Time since the follower sent the call to the store whose answer was the latest one.
     pub age: time::Duration,
+    /// VMs that have passed the changes on, the sender included.
+    pub hops: table_origin::HopCount,
 }
--- a/src/node/tables/table_server.rs
+++ b/src/node/tables/table_server.rs
@@ -75,6 +75,7 @@
         changes,
         revision: image.revision(),
         age,
+        hops: tables.table_origin.borrow().hops.saturating_add(1),
     };
     let known = era_revision::EraRevision::from_number(query.after);
     let own = era_revision::EraRevision::from_number(image.revision());
--- a/src/node/tables/table_source.rs
+++ b/src/node/tables/table_source.rs
@@ -9,7 +9,7 @@
 use crate::decide::{ownership, table_followers};
 use crate::link::{frame_reader, frame_writer, stream_kind};
 use crate::model::ids;
-use crate::node::tables::table_frame;
+use crate::node::tables::{table_frame, table_origin};
 use crate::node::{edge, limits, node_log, node_tables};
 
 /// Where the next changes come from.
@@ -33,6 +33,8 @@
     /// Latest time at which the call to the store can have begun on which the answer rests, by
     /// [`edge::NodeEdge::boot_time`].
     pub began_at: time::Duration,
+    /// VMs that have passed the answer on.
+    pub hops: table_origin::HopCount,
 }
 
 #[derive(Debug)]
@@ -160,6 +162,7 @@
             is_listing,
             // The follower answered after the query was sent, so the call began no earlier than this.
             began_at: sent_at.saturating_sub(report.age),
+            hops: report.hops,
         })
     }
 
