--- /dev/null
+++ b/tests/node_configuration_age.rs
@@ -0,0 +1,137 @@
+//! How old the configuration of a VM may be that gets its tables from other VMs, whatever these miss.
+
+mod node_support;
+
+use std::time::Duration;
+
+use node_support as support;
+use persimmontack::node::edge::ControlChange;
+use persimmontack::node::limits;
+use standins::cluster::cluster_edge::ClusterEdge;
+use standins::cluster::cut_table::CutTarget;
+
+/// Time within which an acknowledged configuration has to be in force.
+const APPLY_LIMIT: Duration = Duration::from_secs(5);
+/// VMs of a deployment, more than ask one another in one round.
+const VMS: u16 = 24;
+/// Interval of the check whether a configuration is in force.
+const CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
+fn publish(edge: &ClusterEdge, version: u64) {
+    edge.change(|state| state.record(ControlChange::Config(support::node_config(version))));
+}
+
+fn version(node: &support::TestNode) -> u64 {
+    node.tables.config().map_or(0, |config| config.version)
+}
+
+async fn start_all(edge: &ClusterEdge) -> Vec<support::TestNode> {
+    let nodes: Vec<_> = (1..=VMS)
+        .map(|number| support::start(edge, number, "dc-a"))
+        .collect();
+    for node in &nodes {
+        node.tables.set_bounds(APPLY_LIMIT, limits::DRAIN_LIMIT);
+    }
+    for node in &nodes {
+        node.wait_until("all members and the list are known", |node| {
+            node.tables.members().len() == usize::from(VMS) && node.tables.has_complete_list()
+        })
+        .await;
+    }
+    nodes
+}
+
+/// Returns how long it takes until a version is in force on all of `nodes`, or `None` if that takes
+/// longer than the bound.
+async fn time_until_in_force(
+    nodes: &[&support::TestNode],
+    version_awaited: u64,
+) -> Option<Duration> {
+    let began = tokio::time::Instant::now();
+    while nodes.iter().any(|node| version(node) < version_awaited) {
+        if began.elapsed() > APPLY_LIMIT {
+            return None;
+        }
+        tokio::time::sleep(CHECK_INTERVAL).await;
+    }
+    Some(began.elapsed())
+}
+
+/// Guards against ages that add up on the way: a follower does not know yet that its watch is lost, and
+/// the one that is asked after it is dark.
+#[test]
+fn a_configuration_behind_a_lost_watch_and_a_dark_follower_is_in_force_in_time() {
+    for offset_ms in (0..2_000).step_by(250) {
+        support::block_on(async {
+            let edge = support::cluster(22);
+            let nodes = start_all(&edge).await;
+            let reader = nodes
+                .iter()
+                .find(|node| !node.tables.is_table_follower())
+                .expect("a reader");
+            let asked = reader.tables.table_followers();
+            reader.sleep(Duration::from_millis(offset_ms)).await;
+            edge.network.cuts.cut(&asked[0], &CutTarget::Store);
+            for node in &nodes {
+                edge.network
+                    .cuts
+                    .cut(&node.tables.vm, &CutTarget::Vm(asked[1].clone()));
+            }
+            publish(&edge, 5);
+            let living: Vec<_> = nodes
+                .iter()
+                .filter(|node| !asked[..2].contains(&node.tables.vm))
+                .collect();
+            let taken = time_until_in_force(&living, 5).await;
+            assert!(taken.is_some(), "cut after {offset_ms} ms");
+        });
+    }
+}
+
+/// Guards against VMs that the store turns away and that ask only VMs which it turns away too, although
+/// others in their reach have the configuration.
+#[test]
+fn a_vm_whose_followers_are_turned_away_too_gets_the_configuration_from_others() {
+    support::block_on(async {
+        let edge = support::cluster(22);
+        let nodes = start_all(&edge).await;
+        let reader = nodes
+            .iter()
+            .find(|node| !node.tables.is_table_follower())
+            .expect("a reader");
+        let asked = reader.tables.table_followers();
+        for vm in asked.iter().chain([&reader.tables.vm]) {
+            edge.network.cuts.cut(vm, &CutTarget::Store);
+        }
+        publish(&edge, 6);
+        let all: Vec<_> = nodes.iter().collect();
+        let taken = time_until_in_force(&all, 6).await;
+        assert!(
+            taken.is_some(),
+            "{} has version {}",
+            reader.tables.vm,
+            version(reader)
+        );
+    });
+}
+
+/// Guards against a configuration that is passed on by one hop only, from VMs that the store serves.
+#[test]
+fn a_configuration_reaches_all_vms_when_the_store_serves_one() {
+    support::block_on(async {
+        let edge = support::cluster(22);
+        let nodes = start_all(&edge).await;
+        for node in &nodes[1..] {
+            edge.network.cuts.cut(&node.tables.vm, &CutTarget::Store);
+        }
+        publish(&edge, 7);
+        let all: Vec<_> = nodes.iter().collect();
+        let taken = time_until_in_force(&all, 7).await;
+        let late: Vec<_> = all
+            .iter()
+            .filter(|node| version(node) < 7)
+            .map(|node| &node.tables.vm)
+            .collect();
+        assert!(taken.is_some(), "late: {late:?}");
+    });
+}
