Judge the age of tables by the call to the store on which they rest

Cause: a VM counted the age of its configuration from the answer of another VM, not from the call to the store on which the answer rested. A follower whose watch was lost went on to answer "no change" for up to 2.5 s, each answer started the limit of 2.5 s anew after which the store itself is asked, and a dark VM or a question that waited was awaited in full beside that.

Evidence: a_configuration_behind_a_lost_watch_and_a_dark_follower_is_in_force_in_time failed before (no version after 5 s, cut after 250 ms) and passes; tables_are_not_overdue_while_all_answers_come_as_late_as_they_may is new.

--- a/src/node/limits.rs
+++ b/src/node/limits.rs
@@ -193,16 +193,16 @@
 pub const FIRST_WATCH_PAUSE: Duration = Duration::from_millis(400);
 /// Time for which a follower may wait for a change of the tables before it answers.
 pub const FOLLOWER_WAIT: Duration = Duration::from_millis(1_000);
-/// Time that a follower gets for its answer beyond that.
+/// Upper bound of that time, as a fraction of the time for a configuration.
+pub const FOLLOWER_WAIT_PARTS: u32 = 5;
+/// Time that a follower gets for its answer beyond its wait.
 pub const FOLLOWER_MARGIN: Duration = Duration::from_millis(500);
 /// Time for which a follower that did not answer is not asked again.
 pub const FOLLOWER_PAUSE: Duration = Duration::from_secs(2);
-/// Age of the latest answer, of the store or of another VM, after which a VM asks the store itself.
-pub const FOLLOWER_OVERDUE: Duration = Duration::from_millis(2_500);
 /// Pause between two calls to the store of a VM that asks followers, while the store does not answer.
 pub const STORE_RETRY_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Upper bound of the wait of a follower's watch, as a fraction of the time for a configuration.
-pub const FOLLOWER_WATCH_PARTS: u32 = 3;
+pub const FOLLOWER_WATCH_PARTS: u32 = 4;
 /// Pause between two questions to a follower, so that a burst of changes comes in few answers.
 pub const FOLLOWER_INTERVAL: Duration = Duration::from_millis(100);
 /// Number of VMs from which on followers watch the store for the others. With fewer, a watch on each
--- a/src/node/node_tables.rs
+++ b/src/node/node_tables.rs
@@ -15,7 +15,7 @@
 use crate::node::tables::{store_image, table_origin, table_source};
 use crate::node::{
     config, edge, group, hosts, isolation, limits, member, monitor, node_log, peers, pool,
-    rate_limits, removal_reason, removed_upstreams, upstream_entry,
+    rate_limits, removal_reason, removed_upstreams, upstream_entry, watch_schedule,
 };
 
 thread_local! {
@@ -151,6 +151,12 @@
         self.drain_limit.set(drain_limit);
     }
 
+    /// Returns the schedule of watches for the bounds of the deployment.
+    #[must_use]
+    pub const fn watch_schedule(&self) -> watch_schedule::WatchSchedule {
+        watch_schedule::WatchSchedule::new(self.config_apply_limit.get())
+    }
+
     /// Records that the store has answered a call of this VM.
     pub fn record_store_contact(&self) {
         self.store_contact.set(Some(monotonic_now()));
--- a/src/node/table_follower.rs
+++ b/src/node/table_follower.rs
@@ -166,31 +166,44 @@
         }
     }
 
-    /// Returns where the next changes come from. When no VM has answered for long, that is the store,
+    /// Returns where the next changes come from. When the tables are overdue, that is the store,
     /// whichever VMs there still are to ask.
     fn choose_source(&mut self) -> table_source::SourceChoice {
-        let retry_at = self
-            .store_asked
-            .map(|asked| asked + limits::STORE_RETRY_INTERVAL);
-        let is_overdue = self
-            .last_answer
-            .is_some_and(|answered| answered.elapsed() > limits::FOLLOWER_OVERDUE);
-        if self.source.may_ask_followers() && is_overdue {
-            let now = Instant::now();
-            let at = retry_at.unwrap_or(now);
-            if at <= now {
-                return table_source::SourceChoice::StoreFrom(now);
-            }
+        let due = self.store_due();
+        let now = Instant::now();
+        if self.source.may_ask_followers() && due <= now {
+            return table_source::SourceChoice::StoreFrom(now);
         }
         match self.source.choose() {
             table_source::SourceChoice::StoreFrom(from) => {
-                let from = retry_at.map_or(from, |at| at.max(from));
-                table_source::SourceChoice::StoreFrom(from)
+                let from = self
+                    .store_retry_at()
+                    .map_or(from, |retry_at| retry_at.max(from));
+                table_source::SourceChoice::StoreFrom(from.min(due))
             }
             choice => choice,
         }
     }
 
+    /// Returns from when on the store may be asked again, if it has just failed to answer.
+    fn store_retry_at(&self) -> Option<Instant> {
+        let asked = self.store_asked?;
+        Some(asked + limits::STORE_RETRY_INTERVAL)
+    }
+
+    /// Returns when the store itself has to be asked, unless another VM passes on newer tables before. Their
+    /// age counts from the call to the store on which they rest, not from the answer of that VM. See
+    /// `docs/design/tables.md`, "How old the tables may be".
+    fn store_due(&self) -> Instant {
+        let left = self
+            .schedule()
+            .overdue_age()
+            .saturating_sub(self.tables.config_age());
+        let overdue_at = Instant::now() + left;
+        self.store_retry_at()
+            .map_or(overdue_at, |retry_at| retry_at.max(overdue_at))
+    }
+
     /// Gets the next changes from a follower.
     async fn follow(
         &mut self,
@@ -198,13 +211,16 @@
         revision: &mut edge::RevisionNumber,
     ) -> FollowOutcome {
         let tables = rc::Rc::clone(&self.tables);
-        let not_before = self
-            .store_asked
-            .map(|asked| asked + limits::STORE_RETRY_INTERVAL);
-        let wait = self.waiting_times().wait.min(limits::FOLLOWER_WAIT);
+        let not_before = self.store_retry_at();
+        let store_due = self.store_due();
+        let wait = self
+            .waiting_times()
+            .wait
+            .min(self.schedule().follower_wait());
         let answer = tokio::select! {
             answer = self.source.ask(follower, *revision, wait) => answer,
             () = await_refresh(&tables, not_before) => return FollowOutcome::AskStore,
+            () = tokio::time::sleep_until(store_due) => return FollowOutcome::AskStore,
         };
         let Ok(answer) = answer else {
             return FollowOutcome::Continue;
@@ -280,7 +296,7 @@
     }
 
     fn schedule(&self) -> watch_schedule::WatchSchedule {
-        watch_schedule::WatchSchedule::new(self.tables.config_apply_limit.get())
+        self.tables.watch_schedule()
     }
 
     /// Returns the times of the next watch that waits.
@@ -293,9 +309,7 @@
             limits::FIRST_WATCH_WAIT.min(limits::STORE_RETURN_GRACE.saturating_sub(age))
         };
         let longest = if self.tables.uses_followers() {
-            // Just before a watch is answered, the latest answer is that of the watch before. Both
-            // together have to be younger than what other VMs accept.
-            longest.min(self.tables.config_apply_limit.get() / limits::FOLLOWER_WATCH_PARTS)
+            longest.min(self.schedule().followed_wait())
         } else {
             longest
         };
@@ -387,6 +401,8 @@
             .store_lost_at
             .set(Some(self.tables.edge.boot_time()));
         node_log::warn("store_lost", &[("reason", error)]);
+        // VMs that wait for this one have to ask others.
+        self.tables.store_image.changed.notify_waiters();
     }
 
     /// Applies a full listing of the store. Known entries that are missing from it have vanished.
--- a/src/node/tables/table_server.rs
+++ b/src/node/tables/table_server.rs
@@ -96,8 +96,8 @@
     (due || !changes.is_empty()).then(|| table_frame::TableReply::Changes(report(changes)))
 }
 
-/// Age of the store's latest answer beyond which this VM does not count as a follower: its watch is
-/// overdue then.
+/// Age of the tables beyond which this VM passes none on: they are overdue here, so they would be at the
+/// other VM.
 fn max_age<E: edge::NodeEdge>(tables: &node_tables::NodeTables<E>) -> time::Duration {
-    tables.config_apply_limit.get()
+    tables.watch_schedule().overdue_age()
 }
--- a/src/node/watch_schedule.rs
+++ b/src/node/watch_schedule.rs
@@ -35,8 +35,7 @@
     /// `pause` after the one before has ended.
     #[must_use]
     pub fn waiting(self, longest: time::Duration, pause: time::Duration) -> WatchTimes {
-        let max_reserve = self.apply_limit / limits::LOST_WATCH_RESERVE_PARTS;
-        let detection = self.apply_limit - limits::LOST_WATCH_RESERVE.min(max_reserve);
+        let detection = self.overdue_age();
         let margin = limits::WATCH_MARGIN.min(detection / limits::WATCH_MARGIN_PARTS);
         let wait = detection
             .saturating_sub(margin + pause)
@@ -48,6 +47,28 @@
         }
     }
 
+    /// Returns the age, since the call to the store began, at which the tables of a VM are overdue,
+    /// whoever passed them on: time is left for one call to the store then.
+    #[must_use]
+    pub fn overdue_age(self) -> time::Duration {
+        let max_reserve = self.apply_limit / limits::LOST_WATCH_RESERVE_PARTS;
+        self.apply_limit - limits::LOST_WATCH_RESERVE.min(max_reserve)
+    }
+
+    /// Returns how long a watch of a VM may wait that passes the tables on. Just before it is answered,
+    /// the latest answer is that of the watch before, so two of them and the wait of a question to this
+    /// VM have to fit into the overdue age.
+    #[must_use]
+    pub fn followed_wait(self) -> time::Duration {
+        self.apply_limit / limits::FOLLOWER_WATCH_PARTS
+    }
+
+    /// Returns how long another VM may wait for a change before it answers a question.
+    #[must_use]
+    pub fn follower_wait(self) -> time::Duration {
+        limits::FOLLOWER_WAIT.min(self.apply_limit / limits::FOLLOWER_WAIT_PARTS)
+    }
+
     /// Returns the times of a watch that does not wait. It serves as a question whether the store
     /// answers.
     #[must_use]
--- a/tests/node_configuration_age.rs
+++ b/tests/node_configuration_age.rs
@@ -5,8 +5,10 @@
 use std::time::Duration;
 
 use node_support as support;
+use persimmontack::decide::table_followers;
 use persimmontack::node::edge::ControlChange;
 use persimmontack::node::limits;
+use persimmontack::node::watch_schedule::WatchSchedule;
 use standins::cluster::cluster_edge::ClusterEdge;
 use standins::cluster::cut_table::CutTarget;
 
@@ -135,3 +137,20 @@
         assert!(taken.is_some(), "late: {late:?}");
     });
 }
+
+/// Guards against VMs that all ask the store on a calm day, since their tables count as overdue while
+/// watches and questions wait as long as they may.
+#[test]
+fn tables_are_not_overdue_while_all_answers_come_as_late_as_they_may() {
+    // Data centres, and bounds for configurations.
+    let cases = [(3, 3_000), (3, 5_000), (17, 5_000), (17, 60_000)];
+    for (data_centres, apply_ms) in cases {
+        let schedule = WatchSchedule::new(Duration::from_millis(apply_ms));
+        let followers = u32::try_from(table_followers::FOLLOWERS_PER_DATA_CENTRE).expect("a count");
+        let pause = limits::WATCH_PAUSE * followers * data_centres;
+        let watch = schedule.waiting(schedule.followed_wait(), pause);
+        let follower_age = (watch.wait + pause) * 2;
+        let age = follower_age + limits::FOLLOWER_INTERVAL + schedule.follower_wait();
+        assert!(age < schedule.overdue_age(), "{apply_ms} ms: {age:?}");
+    }
+}
