Pass a newer configuration on from every VM, and ask more VMs for the tables

Cause: two requirements of the tables were put on the configuration. A VM answered only if its own calls reached the store, so a version went over one hop; and the six VMs that a VM asks are fixed by name, so all of them may be turned away for the whole outage.

Change: a VM that may not pass its tables on answers with its configuration if that is newer. A VM asks up to 16 members of any data centre after the followers, and goes on for 10 s with one that has answered, so that it finds tables too.

Evidence: a_vm_whose_followers_are_turned_away_too_gets_the_configuration_from_others, ..._learns_that_an_upstream_leaves (the same cause for upstreams that leave) and a_configuration_reaches_all_vms_when_the_store_serves_one failed before and pass. The tests turn the first eight asked VMs away, as a VM asks more of them now; the test of the followers counts the VMs there are.

--- a/src/node/limits.rs
+++ b/src/node/limits.rs
@@ -210,8 +210,11 @@
 pub const MIN_FOLLOWED_MEMBERS: u32 = 16;
 /// Number of followers in other data centres that a VM asks before it turns to the store.
 pub const MAX_REMOTE_FOLLOWERS: usize = 2;
-/// Number of other VMs in its data centre that it asks before that.
-pub const MAX_ASKED_MEMBERS: usize = 2;
+/// Number of VMs that do not watch the store that it asks before that. Of sixteen, not all are turned
+/// away unless the store does so with nearly every VM.
+pub const MAX_ASKED_MEMBERS: usize = 16;
+/// Time for which a VM that has answered is asked before the followers.
+pub const FOLLOWER_KEEP: Duration = Duration::from_secs(10);
 /// Longest delay before a VM whose followers do not answer turns to the store.
 pub const MAX_STORE_DELAY: Duration = Duration::from_millis(480);
 /// Pause before a failed call to the store is retried.
--- a/src/node/node_tables.rs
+++ b/src/node/node_tables.rs
@@ -90,6 +90,8 @@
     pub store_image: store_image::SharedImage,
     /// From whom this VM has its tables.
     pub table_origin: cell::RefCell<table_origin::TableOrigin>,
+    /// From whom this VM has the configuration in force.
+    pub config_origin: cell::RefCell<table_origin::TableOrigin>,
     /// Notified when the store was restored from a copy.
     pub restored: Notify,
     /// Revision of the store that the tables reflect.
@@ -137,6 +139,7 @@
             refresh: Notify::new(),
             store_image: store_image::SharedImage::default(),
             table_origin: cell::RefCell::default(),
+            config_origin: cell::RefCell::default(),
             restored: Notify::new(),
             revision: cell::Cell::default(),
             listed_since: cell::Cell::default(),
@@ -175,27 +178,38 @@
         self.isolation.store_answer_age(self.edge.boot_time())
     }
 
-    /// Applies a configuration if it is newer than the one in force. Returns whether it was
-    /// applied.
+    /// Applies a configuration that came with the tables if it is newer than the one in force. Returns
+    /// whether it was applied.
     pub fn apply_config(&self, config: config::NodeConfig) -> bool {
+        let origin = self.table_origin.borrow().clone();
+        self.apply_config_from(config, origin)
+    }
+
+    /// Applies a configuration if it is newer than the one in force, whoever passed it on. Returns
+    /// whether it was applied.
+    pub fn apply_config_from(
+        &self,
+        config: config::NodeConfig,
+        origin: table_origin::TableOrigin,
+    ) -> bool {
         let current = self.config().map_or(0, |current| current.version);
         if self.config.borrow().is_some() && config.version <= current {
             return false;
         }
-        let origin = self.table_origin.borrow();
         node_log::info(
             "config_in_force",
             &[
                 ("version", &config.version),
                 ("before", &current),
                 ("routes", &config.routes.len()),
-                ("from", &*origin),
+                ("from", &origin),
                 ("hops", &origin.hops),
                 ("age_before_ms", &self.config_age().as_millis()),
             ],
         );
         metrics::gauge!("persimmontack_config_version").set(u64_gauge(config.version));
         *self.config.borrow_mut() = Some(rc::Rc::new(config));
+        *self.config_origin.borrow_mut() = origin;
         self.hosts.borrow_mut().clear();
         self.workspace_hosts.clear();
         for pool in self.pools() {
@@ -203,6 +217,7 @@
         }
         self.changed.notify_waiters();
         self.config_changed.notify_waiters();
+        self.store_image.changed.notify_waiters();
         true
     }
 
--- a/src/node/tables/table_frame.rs
+++ b/src/node/tables/table_frame.rs
@@ -25,8 +25,19 @@
     Changes(TableReport),
     /// The follower no longer has the history since that revision; this is the full listing.
     Listing(TableReport),
-    /// The follower does not reach the store, or is behind a restore of it.
-    Unavailable,
+    /// The follower does not reach the store, or is behind a restore of it. It has a configuration to
+    /// pass on if that is newer than the one of the query.
+    Unavailable(Option<Box<ConfigReport>>),
+}
+
+/// A configuration that a VM passes on although its tables may be old: a version never goes back, so
+/// a newer one is right whatever else the VM knows.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ConfigReport {
+    /// The configuration.
+    pub config: config::NodeConfig,
+    /// VMs that have passed it on, the sender included.
+    pub hops: table_origin::HopCount,
 }
 
 /// Changes of the tables, and how old the store's answer is on which they rest.
--- a/src/node/tables/table_server.rs
+++ b/src/node/tables/table_server.rs
@@ -68,8 +68,9 @@
         .began_at()
         .map(|began_at| now.saturating_sub(began_at))
         .filter(|age| *age <= max_age(tables));
+    let newer = newer_config(tables, query);
     let Some(age) = age.filter(|_| tables.store_available.get()) else {
-        return Some(table_frame::TableReply::Unavailable);
+        return Some(table_frame::TableReply::Unavailable(newer.map(Box::new)));
     };
     let report = |changes| table_frame::TableReport {
         changes,
@@ -80,22 +81,34 @@
     let known = era_revision::EraRevision::from_number(query.after);
     let own = era_revision::EraRevision::from_number(image.revision());
     if known.era > own.era {
-        return Some(table_frame::TableReply::Unavailable);
+        return Some(table_frame::TableReply::Unavailable(newer.map(Box::new)));
     }
+    // The image has the configuration of the store, which other VMs may have overtaken.
+    let newer = newer.map(|report| edge::ControlChange::Config(report.config));
     let Some(mut changes) = image
         .changes_after(query.after)
         .filter(|_| known.era == own.era)
     else {
-        return Some(table_frame::TableReply::Listing(report(image.listing())));
+        let mut listing = image.listing();
+        listing.extend(newer);
+        return Some(table_frame::TableReply::Listing(report(listing)));
     };
-    if let Some(config) = tables.config()
-        && config.version > query.config
-    {
-        changes.push(edge::ControlChange::Config((*config).clone()));
-    }
+    changes.extend(newer);
     (due || !changes.is_empty()).then(|| table_frame::TableReply::Changes(report(changes)))
 }
 
+/// Returns the configuration in force if it is newer than the one of the query.
+fn newer_config<E: edge::NodeEdge>(
+    tables: &node_tables::NodeTables<E>,
+    query: table_frame::TableQuery,
+) -> Option<table_frame::ConfigReport> {
+    let config = tables.config()?;
+    (config.version > query.config).then(|| table_frame::ConfigReport {
+        config: (*config).clone(),
+        hops: tables.config_origin.borrow().hops.saturating_add(1),
+    })
+}
+
 /// Age of the tables beyond which this VM passes none on: they are overdue here, so they would be at the
 /// other VM.
 fn max_age<E: edge::NodeEdge>(tables: &node_tables::NodeTables<E>) -> time::Duration {
--- a/src/node/tables/table_source.rs
+++ b/src/node/tables/table_source.rs
@@ -51,6 +51,8 @@
     stream: Option<FollowerStream>,
     /// Followers that did not answer, and until when they are not asked.
     failed: collections::BTreeMap<ids::VmId, Instant>,
+    /// The VM that answered last, and until when it is asked before the others.
+    found: Option<(ids::VmId, Instant)>,
 }
 
 impl<E: edge::NodeEdge> TableSource<E> {
@@ -61,6 +63,7 @@
             tables,
             stream: None,
             failed: collections::BTreeMap::new(),
+            found: None,
         }
     }
 
@@ -78,10 +81,10 @@
         }
         let now = Instant::now();
         self.failed.retain(|_, until| now < *until);
-        let usable = self
-            .tables
-            .table_followers()
-            .into_iter()
+        self.found = self.found.take().filter(|(_, until)| now < *until);
+        let found = self.found.iter().map(|(follower, _)| follower.clone());
+        let usable = found
+            .chain(self.tables.table_followers())
             .find(|follower| !self.failed.contains_key(follower));
         if let Some(follower) = usable {
             return SourceChoice::Follower(follower);
@@ -112,6 +115,11 @@
         let result = tokio::time::timeout(limit, self.exchange(follower, query))
             .await
             .unwrap_or_else(|elapsed| Err(elapsed.to_string()));
+        let is_known = self.found.as_ref().is_some_and(|(vm, _)| vm == follower);
+        if result.is_ok() && !is_known {
+            let until = Instant::now() + limits::FOLLOWER_KEEP;
+            self.found = Some((follower.to_owned(), until));
+        }
         if let Err(reason) = &result {
             let until = Instant::now() + limits::FOLLOWER_PAUSE;
             self.failed.insert(follower.to_owned(), until);
@@ -150,7 +158,14 @@
         let (report, is_listing) = match reply {
             table_frame::TableReply::Changes(report) => (report, false),
             table_frame::TableReply::Listing(report) => (report, true),
-            table_frame::TableReply::Unavailable => {
+            table_frame::TableReply::Unavailable(newer) => {
+                if let Some(report) = newer {
+                    let origin = table_origin::TableOrigin {
+                        vm: Some(follower.to_owned()),
+                        hops: report.hops,
+                    };
+                    self.tables.apply_config_from(report.config, origin);
+                }
                 return Err("the follower does not reach the store".to_owned());
             }
         };
@@ -188,7 +203,7 @@
 }
 
 /// Returns the VMs that `vm` asks for changes, in this order: the followers of its data centre, some of
-/// the others, and some VMs of its data centre that may have asked a follower which it does not reach.
+/// the others, and some VMs of any data centre. The store may turn the followers away and serve those.
 #[must_use]
 pub fn order_all_followers(
     vm: &str,
@@ -215,10 +230,10 @@
         .iter()
         .flat_map(|(_, members)| followers_of(members))
         .collect();
-    let other_members: Vec<_> = local
-        .iter()
-        .flat_map(|(_, members)| members.iter().map(|member| (*member).to_owned()))
-        .filter(|member| !local_followers.contains(member))
+    let other_members: Vec<_> = members
+        .keys()
+        .filter(|member| !local_followers.contains(member) && !remote_followers.contains(member))
+        .cloned()
         .collect();
     let ranked = |vms: &[ids::VmId], count: usize| {
         let others = vms.iter().map(String::as_str).filter(|other| *other != vm);
