--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -36,6 +36,7 @@
 pub mod log_knowledge;
 mod log_survey;
 pub mod member;
+pub mod membership;
 pub mod monitor;
 pub mod node_log;
 pub mod node_tables;
--- a/tests/node_support/mod.rs
+++ b/tests/node_support/mod.rs
@@ -13,8 +13,8 @@
 use bytes::Bytes;
 use persimmontack::node::workspaces::{caller_hello, key_check, workspace_binding};
 use persimmontack::node::{
-    answers, config, isolation, member, node_tables, relay_caller, request, session, session_start,
-    stop, table_follower,
+    answers, config, isolation, member, membership, node_tables, relay_caller, request, session,
+    session_start, stop, table_follower,
 };
 use standins::cluster::{cluster_edge, cluster_state, instance_state, test_caller};
 
@@ -126,7 +126,7 @@
         stop: Rc::default(),
     };
     tokio::task::spawn_local(table_follower::follow_store(Rc::clone(&node.tables)));
-    tokio::task::spawn_local(table_follower::keep_membership(
+    tokio::task::spawn_local(membership::keep(
         Rc::clone(&node.tables),
         Rc::clone(&node.stop),
     ));
