Count the age of a follower's answer from when it was given

A VM took its tables to be as of the time at which it sent its question, less the age that the follower told.

--- a/src/node/node_tables.rs
+++ b/src/node/node_tables.rs
@@ -14,8 +14,8 @@
 use crate::node::connections::workspace_hosts;
 use crate::node::tables::{store_image, table_origin, table_source};
 use crate::node::{
-    config, edge, group, hosts, isolation, limits, member, monitor, node_log, peers, pool,
-    rate_limits, removal_reason, removed_upstreams, upstream_entry, watch_schedule,
+    config, edge, former_members, group, hosts, isolation, limits, member, monitor, node_log,
+    peers, pool, rate_limits, removal_reason, removed_upstreams, upstream_entry, watch_schedule,
 };
 
 thread_local! {
@@ -60,6 +60,9 @@
     pub renew: Notify,
     /// Members whose entries have vanished from the store, and that are kept for a while.
     pub vanished_members: cell::RefCell<collections::BTreeSet<ids::VmId>>,
+    /// VMs that were members until their entries vanished, which may be because the store does not serve
+    /// them or this VM.
+    former_members: cell::RefCell<former_members::FormerMembers>,
     /// Number of times that a VM was added to or removed from the members.
     pub member_changes: cell::Cell<u64>,
     /// Whether this VM is cut off from other data centres.
@@ -125,6 +128,7 @@
             entry_renewed_at: cell::Cell::default(),
             renew: Notify::new(),
             vanished_members: cell::RefCell::default(),
+            former_members: cell::RefCell::default(),
             member_changes: cell::Cell::default(),
             isolation: isolation::IsolationState::default(),
             budget: cell::RefCell::default(),
@@ -554,6 +558,7 @@
     /// Adds or updates a member VM.
     pub fn add_member(&self, member: &str, entry: member::MemberEntry) {
         self.vanished_members.borrow_mut().remove(member);
+        self.former_members.borrow_mut().forget(member);
         let before = self.members.borrow_mut().insert(member.to_owned(), entry);
         self.hosts.borrow_mut().clear();
         self.workspace_hosts.clear();
@@ -569,7 +574,11 @@
     /// Removes a member VM.
     pub fn remove_member(&self, member: &str) {
         self.vanished_members.borrow_mut().remove(member);
-        if self.members.borrow_mut().remove(member).is_some() {
+        let removed = self.members.borrow_mut().remove(member);
+        if let Some(entry) = removed {
+            let now = monotonic_now();
+            let mut former = self.former_members.borrow_mut();
+            former.record(member.to_owned(), entry, now);
             self.member_changes.set(self.member_changes.get() + 1);
             self.hosts.borrow_mut().clear();
             self.workspace_hosts.clear();
@@ -588,7 +597,17 @@
             return Vec::new();
         }
         let members = self.members_with_self();
-        table_source::order_all_followers(&self.vm, &self.own_entry.data_centre, &members)
+        let mut order =
+            table_source::order_all_followers(&self.vm, &self.own_entry.data_centre, &members);
+        if !self.store_available.get() {
+            // Their entries may be back, and this VM would not know.
+            let former = self.former_members.borrow().names(monotonic_now());
+            let others = former.iter().filter(|vm| **vm != self.vm);
+            let former = others.map(String::as_str);
+            let ranked = table_followers::rank_followers(&self.vm, former);
+            order.extend(ranked.into_iter().take(limits::MAX_ASKED_MEMBERS));
+        }
+        order
     }
 
     /// Returns whether there are enough VMs for some to watch the store for the others.
@@ -649,10 +668,11 @@
         self.members.borrow().contains_key(vm)
     }
 
-    /// Returns the address at which other VMs connect to a member.
+    /// Returns the address at which other VMs connect to a member, or to one until a while ago.
     #[must_use]
     pub fn member_address(&self, member: &str) -> Option<net::SocketAddr> {
-        self.members.borrow().get(member).map(|entry| entry.address)
+        let address = self.members.borrow().get(member).map(|entry| entry.address);
+        address.or_else(|| self.former_members.borrow().address(member))
     }
 
     /// Returns the number of VMs, this one included.
--- a/src/node/tables/table_frame.rs
+++ b/src/node/tables/table_frame.rs
@@ -49,6 +49,8 @@
     pub revision: edge::RevisionNumber,
     /// Time since the follower sent the call to the store whose answer was the latest one.
     pub age: time::Duration,
+    /// Time for which the sender held the query before it answered.
+    pub held: time::Duration,
     /// VMs that have passed the changes on, the sender included.
     pub hops: table_origin::HopCount,
 }
--- a/src/node/tables/table_server.rs
+++ b/src/node/tables/table_server.rs
@@ -42,10 +42,11 @@
     tables: &node_tables::NodeTables<E>,
     query: table_frame::TableQuery,
 ) -> table_frame::TableReply {
-    let limit = Instant::now() + query.wait.min(limits::MAX_WATCH_WAIT);
+    let received_at = Instant::now();
+    let limit = received_at + query.wait.min(limits::MAX_WATCH_WAIT);
     loop {
         let changed = tables.store_image.changed.notified();
-        if let Some(reply) = current_reply(tables, query, Instant::now() >= limit) {
+        if let Some(reply) = current_reply(tables, query, received_at, Instant::now() >= limit) {
             return reply;
         }
         tokio::select! {
@@ -60,6 +61,7 @@
 fn current_reply<E: edge::NodeEdge>(
     tables: &node_tables::NodeTables<E>,
     query: table_frame::TableQuery,
+    received_at: Instant,
     due: bool,
 ) -> Option<table_frame::TableReply> {
     let image = tables.store_image.image.borrow();
@@ -76,6 +78,7 @@
         changes,
         revision: image.revision(),
         age,
+        held: received_at.elapsed(),
         hops: tables.table_origin.borrow().hops.saturating_add(1),
     };
     let known = era_revision::EraRevision::from_number(query.after);
--- a/src/node/tables/table_source.rs
+++ b/src/node/tables/table_source.rs
@@ -175,8 +175,8 @@
                 revision: report.revision,
             },
             is_listing,
-            // The follower answered after the query was sent, so the call began no earlier than this.
-            began_at: sent_at.saturating_sub(report.age),
+            // The follower received the query after it was sent, so the call began no earlier than this.
+            began_at: (sent_at + report.held).saturating_sub(report.age),
             hops: report.hops,
         })
     }
