Have a VM that the store turns away ask former members too, and only such a VM ask others than followers

Change: VMs whose entries have vanished are kept apart with their addresses for 120 s, and a VM that the store does not serve asks up to 16 of them after the members. A VM that the store serves asks followers and the store only.

Test of the followers: what it asserted of all readers it asserts now of a reader that the store turns away, and of the others that they ask exactly the followers.

--- a/src/node/limits.rs
+++ b/src/node/limits.rs
@@ -210,8 +210,8 @@
 pub const MIN_FOLLOWED_MEMBERS: u32 = 16;
 /// Number of followers in other data centres that a VM asks before it turns to the store.
 pub const MAX_REMOTE_FOLLOWERS: usize = 2;
-/// Number of VMs that do not watch the store that it asks before that. Of sixteen, not all are turned
-/// away unless the store does so with nearly every VM.
+/// Number of other members, and of former ones, that a VM asks which the store does not serve. Of sixteen, not
+/// all are turned away unless the store does so with nearly every VM.
 pub const MAX_ASKED_MEMBERS: usize = 16;
 /// Time for which a VM that has answered is asked before the followers.
 pub const FOLLOWER_KEEP: Duration = Duration::from_secs(10);
@@ -221,7 +221,7 @@
 pub const STORE_PAUSE: Duration = Duration::from_millis(250);
 /// Time for which vanished entries are kept; it restarts at the end of an outage of the store.
 pub const STORE_RETURN_GRACE: Duration = Duration::from_millis(2_500);
-/// Time for which the last entry of a removed upstream is remembered. A copy of the store that is restored
+/// Time for which the last entry of a removed upstream, or of a VM, is remembered. A copy of the store that is restored
 /// is some seconds old.
 pub const REMOVED_MEMORY: Duration = Duration::from_secs(120);
 /// Time after the stop signal for which new callers are still served: the load balancer removes a
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -22,6 +22,7 @@
 pub mod entry_age;
 pub mod era_revision;
 pub mod failover;
+pub mod former_members;
 pub mod gauges;
 pub mod group;
 pub mod health;
--- a/src/node/node_tables.rs
+++ b/src/node/node_tables.rs
@@ -589,8 +589,7 @@
         }
     }
 
-    /// Returns the VMs that watch the store and that this VM may ask, in the order in which it asks
-    /// them.
+    /// Returns the VMs that this VM may ask for tables, in the order in which it asks them.
     #[must_use]
     pub fn table_followers(&self) -> Vec<ids::VmId> {
         if !self.uses_followers() {
@@ -600,16 +599,29 @@
         let mut order =
             table_source::order_all_followers(&self.vm, &self.own_entry.data_centre, &members);
         if !self.store_available.get() {
-            // Their entries may be back, and this VM would not know.
-            let former = self.former_members.borrow().names(monotonic_now());
-            let others = former.iter().filter(|vm| **vm != self.vm);
-            let former = others.map(String::as_str);
-            let ranked = table_followers::rank_followers(&self.vm, former);
-            order.extend(ranked.into_iter().take(limits::MAX_ASKED_MEMBERS));
+            order.extend(self.rank_others(&order));
         }
         order
     }
 
+    /// Returns VMs that may be asked for tables beside `followers` while the store does not serve this VM. It may
+    /// turn all followers away too. A VM that the store serves asks the store instead, since VMs that asked
+    /// each other would learn nothing new.
+    fn rank_others(&self, followers: &[ids::VmId]) -> Vec<ids::VmId> {
+        let members = self.members();
+        // The entries of former members may be back, and this VM would not know.
+        let former = self.former_members.borrow().names(monotonic_now());
+        let ranked = [members.into_keys().collect(), former].map(|vms: Vec<_>| {
+            let others = vms
+                .iter()
+                .filter(|vm| **vm != self.vm && !followers.contains(vm));
+            let mut ranked = table_followers::rank_followers(&self.vm, others.map(String::as_str));
+            ranked.truncate(limits::MAX_ASKED_MEMBERS);
+            ranked
+        });
+        ranked.concat()
+    }
+
     /// Returns whether there are enough VMs for some to watch the store for the others.
     #[must_use]
     pub fn uses_followers(&self) -> bool {
--- a/src/node/tables/table_source.rs
+++ b/src/node/tables/table_source.rs
@@ -81,11 +81,16 @@
         }
         let now = Instant::now();
         self.failed.retain(|_, until| now < *until);
-        self.found = self.found.take().filter(|(_, until)| now < *until);
-        let found = self.found.iter().map(|(follower, _)| follower.clone());
+        let followers = self.tables.table_followers();
+        self.found = self
+            .found
+            .take()
+            .filter(|(found, until)| now < *until && followers.contains(found));
+        let found = self.found.iter().map(|(found, _)| found);
         let usable = found
-            .chain(self.tables.table_followers())
-            .find(|follower| !self.failed.contains_key(follower));
+            .chain(&followers)
+            .find(|follower| !self.failed.contains_key(*follower))
+            .cloned();
         if let Some(follower) = usable {
             return SourceChoice::Follower(follower);
         }
@@ -202,8 +207,8 @@
     limits::MAX_STORE_DELAY / 16 * parts
 }
 
-/// Returns the VMs that `vm` asks for changes, in this order: the followers of its data centre, some of
-/// the others, and some VMs of any data centre. The store may turn the followers away and serve those.
+/// Returns the VMs that `vm` asks for changes, in this order: the followers of its data centre and some of
+/// the others.
 #[must_use]
 pub fn order_all_followers(
     vm: &str,
@@ -230,11 +235,6 @@
         .iter()
         .flat_map(|(_, members)| followers_of(members))
         .collect();
-    let other_members: Vec<_> = members
-        .keys()
-        .filter(|member| !local_followers.contains(member) && !remote_followers.contains(member))
-        .cloned()
-        .collect();
     let ranked = |vms: &[ids::VmId], count: usize| {
         let others = vms.iter().map(String::as_str).filter(|other| *other != vm);
         let mut ranked = table_followers::rank_followers(vm, others);
@@ -243,6 +243,5 @@
     };
     let mut order = ranked(&local_followers, local_followers.len());
     order.extend(ranked(&remote_followers, limits::MAX_REMOTE_FOLLOWERS));
-    order.extend(ranked(&other_members, limits::MAX_ASKED_MEMBERS));
     order
 }
--- a/tests/node_configuration_age.rs
+++ b/tests/node_configuration_age.rs
@@ -30,9 +30,14 @@
 }
 
 /// Has the store turn away a VM and the first ones that it asks.
-fn turn_away(edge: &ClusterEdge, node: &support::TestNode) {
+async fn turn_away(edge: &ClusterEdge, node: &support::TestNode) {
+    edge.network.cuts.cut(&node.tables.vm, &CutTarget::Store);
+    node.wait_until("the VM notices it", |node| {
+        !node.tables.store_available.get()
+    })
+    .await;
     let asked = node.tables.table_followers();
-    for vm in asked.iter().take(TURNED_AWAY).chain([&node.tables.vm]) {
+    for vm in asked.iter().take(TURNED_AWAY) {
         edge.network.cuts.cut(vm, &CutTarget::Store);
     }
 }
@@ -111,7 +116,7 @@
             .iter()
             .find(|node| !node.tables.is_table_follower())
             .expect("a reader");
-        turn_away(&edge, reader);
+        turn_away(&edge, reader).await;
         publish(&edge, 6);
         let all: Vec<_> = nodes.iter().collect();
         let taken = time_until_in_force(&all, 6).await;
@@ -135,7 +140,7 @@
             .iter()
             .find(|node| !node.tables.is_table_follower())
             .expect("a reader");
-        turn_away(&edge, reader);
+        turn_away(&edge, reader).await;
         edge.change(|state| state.change_entry("b", |entry| entry.leaving = true));
         reader.sleep(APPLY_LIMIT).await;
         let pool = reader.tables.pool("b").expect("a pool");
@@ -143,6 +148,38 @@
     });
 }
 
+/// Guards against VMs that the store turns away and that know only each other, since the entries of those
+/// that it serves ended while it turned these away.
+#[test]
+fn a_vm_gets_the_configuration_from_vms_whose_entries_had_vanished() {
+    support::block_on(async {
+        let edge = support::cluster(22);
+        let nodes = start_all(&edge).await;
+        let (first, second) = nodes.split_at(usize::from(VMS) / 3);
+        for node in first {
+            edge.network.cuts.cut(&node.tables.vm, &CutTarget::Store);
+            edge.change(|state| state.leave(&node.tables.vm));
+        }
+        second[0]
+            .wait_until("the entries are gone", |node| {
+                node.tables.members().len() == second.len()
+            })
+            .await;
+        for node in second {
+            edge.network.cuts.cut(&node.tables.vm, &CutTarget::Store);
+        }
+        for node in first {
+            edge.network.cuts.heal(&node.tables.vm, &CutTarget::Store);
+            edge.change(|state| state.join(&node.tables.vm, &node.tables.own_entry));
+        }
+        publish(&edge, 8);
+        let all: Vec<_> = nodes.iter().collect();
+        let taken = time_until_in_force(&all, 8).await;
+        let late = all.iter().filter(|node| version(node) < 8).count();
+        assert!(taken.is_some(), "late: {late}");
+    });
+}
+
 /// Guards against a configuration that is passed on by one hop only, from VMs that the store serves.
 #[test]
 fn a_configuration_reaches_all_vms_when_the_store_serves_one() {
--- a/tests/node_followers.rs
+++ b/tests/node_followers.rs
@@ -73,8 +73,12 @@
         for node in readers(&nodes) {
             let asked = node.tables.table_followers();
             assert!(asked.iter().all(|vm| *vm != node.tables.vm));
+            assert_eq!(asked.len(), table_followers::FOLLOWERS_PER_DATA_CENTRE);
+            node.tables.store_available.set(false);
+            let asked = node.tables.table_followers();
             let expected = table_followers::FOLLOWERS_PER_DATA_CENTRE + limits::MAX_ASKED_MEMBERS;
             assert_eq!(asked.len(), expected.min(usize::from(VMS) - 1));
+            assert!(asked.iter().all(|vm| *vm != node.tables.vm));
         }
     });
 }
