Find the reader of a test in one place

Three tests of node_configuration_age searched for it with the same lines. No assertion changes; format, lints of the file and its six tests pass.

--- a/tests/node_configuration_age.rs
+++ b/tests/node_configuration_age.rs
@@ -58,6 +58,14 @@
     nodes
 }
 
+/// Returns a VM that gets its tables from followers.
+fn first_reader(nodes: &[support::TestNode]) -> &support::TestNode {
+    nodes
+        .iter()
+        .find(|node| !node.tables.is_table_follower())
+        .expect("a reader")
+}
+
 /// Returns how long it takes until a version is in force on all of `nodes`, or `None` if that takes
 /// longer than the bound.
 async fn time_until_in_force(
@@ -82,10 +90,7 @@
         support::block_on(async {
             let edge = support::cluster(22);
             let nodes = start_all(&edge).await;
-            let reader = nodes
-                .iter()
-                .find(|node| !node.tables.is_table_follower())
-                .expect("a reader");
+            let reader = first_reader(&nodes);
             let asked = reader.tables.table_followers();
             reader.sleep(Duration::from_millis(offset_ms)).await;
             edge.network.cuts.cut(&asked[0], &CutTarget::Store);
@@ -112,10 +117,7 @@
     support::block_on(async {
         let edge = support::cluster(22);
         let nodes = start_all(&edge).await;
-        let reader = nodes
-            .iter()
-            .find(|node| !node.tables.is_table_follower())
-            .expect("a reader");
+        let reader = first_reader(&nodes);
         turn_away(&edge, reader).await;
         publish(&edge, 6);
         let all: Vec<_> = nodes.iter().collect();
@@ -136,10 +138,7 @@
     support::block_on(async {
         let edge = support::cluster(22);
         let nodes = start_all(&edge).await;
-        let reader = nodes
-            .iter()
-            .find(|node| !node.tables.is_table_follower())
-            .expect("a reader");
+        let reader = first_reader(&nodes);
         turn_away(&edge, reader).await;
         edge.change(|state| state.change_entry("b", |entry| entry.leaving = true));
         reader.sleep(APPLY_LIMIT).await;
