--- a/src/node/acknowledgement.rs
+++ b/src/node/acknowledgement.rs
@@ -73,10 +73,13 @@
         if !std::mem::replace(&mut held, true) {
             log_commit(commit, "commit_held", &format!("{reason:?}"), started);
         }
-        let decision = commit.group.latest_decision();
+        let decision = commit.group.decisions.latest();
         let kept = check_commit(tables, commit, &reason).await;
-        if kept == Some(true) && commit.group.latest_decision() == decision {
-            commit.group.record_successor_position(commit.position);
+        if kept == Some(true) && commit.group.decisions.latest() == decision {
+            commit
+                .group
+                .decisions
+                .record_successor_position(commit.position);
             break Ok(());
         }
         let is_promoted = matches!(&reason, UnconfirmedReason::Replaced(Some(successor))
@@ -146,13 +149,14 @@
     acknowledged: time::Duration,
 ) -> Option<UnconfirmedReason> {
     let group = &commit.group;
-    if group.successor_holds(commit.position) {
+    if group.decisions.successor_holds(commit.position) {
         return None;
     }
     let leader = group
         .primary()
         .filter(|primary| *primary != commit.upstream);
     let change = group
+        .decisions
         .open_change(node_tables::monotonic_now())
         .filter(|change| change.may_drop(commit.position));
     if let Some(change) = change {
@@ -278,7 +282,7 @@
             ("group", &commit.group.group),
             ("upstream", &commit.upstream),
             ("position", &commit.position),
-            ("decision", &commit.group.latest_decision()),
+            ("decision", &commit.group.decisions.latest()),
             ("what", &what),
             ("elapsed_ms", &started.elapsed().as_millis()),
         ],
--- a/src/node/claims.rs
+++ b/src/node/claims.rs
@@ -33,7 +33,9 @@
                 tables.refresh.notify_one();
             }
         })?;
-    group.record_claim(number, purpose, node_tables::monotonic_now());
+    group
+        .decisions
+        .record_claim(number, purpose, node_tables::monotonic_now());
     Ok(number)
 }
 
@@ -66,7 +68,7 @@
         .isolation
         .may_have_missed_decisions(tables.edge.boot_time());
     let usable = knows_all_decisions && change.successor.is_none();
-    let Some(number) = usable.then(|| group.take_reserved_number()).flatten() else {
+    let Some(number) = usable.then(|| group.decisions.take_reserved()).flatten() else {
         return Err(ClaimError::Store(error));
     };
     node_log::warn(
@@ -77,7 +79,9 @@
             ("reason", &error),
         ],
     );
-    group.open_decision(number, change.clone(), node_tables::monotonic_now());
+    group
+        .decisions
+        .open_decision(number, change.clone(), node_tables::monotonic_now());
     Ok(number)
 }
 
@@ -90,7 +94,7 @@
 ) {
     match claim(tables, group, previous, &edge::ClaimPurpose::Reserve).await {
         Ok(number) => {
-            group.set_reserved_number(number);
+            group.decisions.set_reserved(number);
             node_log::info(
                 "number_reserved",
                 &[("group", &group.group), ("decision", &number)],
@@ -114,7 +118,7 @@
     group: &group::GroupState,
     number: edge::RevisionNumber,
 ) -> Result<(), edge::StoreError> {
-    if group.latest_decision() != number {
+    if group.decisions.latest() != number {
         return Err(edge::StoreError::Conflict);
     }
     let purpose = match term_search::await_start(tables, group).await {
--- a/src/node/decision.rs
+++ b/src/node/decision.rs
@@ -258,7 +258,7 @@
     /// Pauses before the next attempt. Fails if the decision was overtaken or its deadline has
     /// passed; `missing` gives the reason.
     pub(super) async fn pause(&self, missing: impl FnOnce() -> String) -> Result<(), DecisionEnd> {
-        if self.group.latest_decision() != self.number {
+        if self.group.decisions.latest() != self.number {
             return Err(DecisionEnd::Overtaken);
         }
         if self.is_past_deadline() {
@@ -358,7 +358,7 @@
         let mut unanswered = false;
         loop {
             // A higher number means that another VM has begun a later decision.
-            if self.group.latest_decision() != self.number {
+            if self.group.decisions.latest() != self.number {
                 return DecisionEnd::Overtaken;
             }
             let may_have_missed = self
@@ -453,7 +453,7 @@
                 }
                 return DecisionEnd::Promoted(upstream);
             }
-            if self.group.latest_decision() != self.number {
+            if self.group.decisions.latest() != self.number {
                 return DecisionEnd::Overtaken;
             }
             if Instant::now() >= deadline {
--- a/src/node/failover.rs
+++ b/src/node/failover.rs
@@ -24,7 +24,10 @@
     mut previous: edge::RevisionNumber,
 ) -> decision::DecisionEnd {
     // A promotion of an earlier decision that was never closed may still take effect.
-    let pending = group.open_change(node_tables::monotonic_now()).is_some();
+    let pending = group
+        .decisions
+        .open_change(node_tables::monotonic_now())
+        .is_some();
     if let Err(end) = await_successor(tables, group, problem, previous).await {
         return end;
     }
@@ -55,7 +58,7 @@
             }
         };
         previous = number;
-        group.set_own_decision(number);
+        group.decisions.set_own(number);
         let mut decision = decision::Decision::begin(tables, group, number, change, deadline);
         decision.log_begun(problem);
         let end = decision.run(problem).await;
@@ -167,6 +170,7 @@
             group: group.group.clone(),
             number,
             change: group
+                .decisions
                 .open_change(node_tables::monotonic_now())
                 .unwrap_or_default(),
         };
@@ -200,7 +204,7 @@
         &[
             ("group", &group.group),
             ("decision", &number),
-            ("latest", &group.latest_decision()),
+            ("latest", &group.decisions.latest()),
             ("upstreams", &names.join(",")),
         ],
     );
--- a/src/node/gauges.rs
+++ b/src/node/gauges.rs
@@ -43,7 +43,7 @@
             *highest = highest.max(share);
         }
         let name = group.group.clone();
-        let decision = era_revision::EraRevision::from_number(group.latest_decision());
+        let decision = era_revision::EraRevision::from_number(group.decisions.latest());
         let decision = node_tables::u64_gauge(decision.revision);
         metrics::gauge!("persimmontack_decision_number", "group" => name.clone()).set(decision);
         let primary = f64::from(u32::from(group.primary().is_some()));
--- a/src/node/group.rs
+++ b/src/node/group.rs
@@ -6,7 +6,7 @@
 use crate::decide::read_position;
 use crate::model::{ids, log_position, term_start};
 use crate::node::placement::group_placement;
-use crate::node::{counted_upstreams, edge, lead_proof, limits, log_knowledge, primary_change};
+use crate::node::{counted_upstreams, decision_record, lead_proof, log_knowledge};
 
 /// Maximum number of reported positions that wait for the proof that the primary led. The oldest
 /// ones are dropped first, since newer ones serve the same reads.
@@ -15,13 +15,6 @@
 /// Number of a commit that waits for its answer.
 pub type CommitNumber = u64;
 
-/// A decision on the primary that may still be in progress.
-#[derive(Debug)]
-struct OpenDecision {
-    change: primary_change::PrimaryChange,
-    seen: time::Duration,
-}
-
 /// The node's view of one group of upstreams: the primary, its log positions, commits in flight,
 /// and decisions on the primary.
 #[derive(Debug)]
@@ -50,22 +43,14 @@
     last_commit: cell::Cell<time::Duration>,
     /// Until when commits are refused, since the primary cannot commit.
     commits_refused_until: cell::Cell<time::Duration>,
-    latest_decision: cell::Cell<edge::RevisionNumber>,
-    decision_seen_at: cell::Cell<Option<time::Duration>>,
-    open_decision: cell::RefCell<Option<OpenDecision>>,
-    /// Number of this VM's latest decision.
-    own_decision: cell::Cell<edge::RevisionNumber>,
-    /// Highest position that the next primary is known to hold.
-    successor_position: cell::Cell<Option<log_position::LogPosition>>,
+    /// What this VM knows of the decisions on the primary.
+    pub decisions: decision_record::DecisionRecord,
     /// Whether a check runs for a commit whose acknowledgement is not sufficient.
     checking_commit: cell::Cell<bool>,
     /// When a replica was last removed that left without being known to be fenced.
     leaver_gone_at: cell::Cell<Option<time::Duration>>,
-    decision_ended_at: cell::Cell<Option<time::Duration>>,
-    deciding: cell::Cell<bool>,
     /// Shares of the reads that leave the data centre.
     pub placement: group_placement::GroupPlacement,
-    reserved_number: cell::Cell<Option<edge::RevisionNumber>>,
 }
 
 impl GroupState {
@@ -88,17 +73,10 @@
             next_commit: cell::Cell::default(),
             last_commit: cell::Cell::default(),
             commits_refused_until: cell::Cell::default(),
-            latest_decision: cell::Cell::default(),
-            decision_seen_at: cell::Cell::default(),
-            open_decision: cell::RefCell::default(),
-            own_decision: cell::Cell::default(),
-            successor_position: cell::Cell::default(),
+            decisions: decision_record::DecisionRecord::default(),
             checking_commit: cell::Cell::default(),
             leaver_gone_at: cell::Cell::default(),
-            decision_ended_at: cell::Cell::default(),
-            deciding: cell::Cell::default(),
             placement: group_placement::GroupPlacement::default(),
-            reserved_number: cell::Cell::default(),
         }
     }
 
@@ -151,7 +129,7 @@
     }
 
     /// Records a position that the primary has reported. It counts once the primary is proved to
-    /// have led at `sent_at`, when the request was sent, a time of [`edge::NodeEdge::boot_time`].
+    /// have led at `sent_at`, when the request was sent, a time of [`crate::node::edge::NodeEdge::boot_time`].
     pub fn report_position(
         &self,
         upstream: &str,
@@ -306,150 +284,13 @@
         })
     }
 
-    /// Records a claimed decision number and its purpose, unless a later number is known.
-    pub fn record_claim(
-        &self,
-        number: edge::RevisionNumber,
-        purpose: &edge::ClaimPurpose,
-        now: time::Duration,
-    ) {
-        if number <= self.latest_decision.get() {
-            return;
-        }
-        self.latest_decision.set(number);
-        self.successor_position.set(None);
-        // A reserved number is valid only until a later one is claimed.
-        self.reserved_number.set(None);
-        let open = match purpose {
-            edge::ClaimPurpose::Now(change) => {
-                self.decision_seen_at.set(Some(now));
-                Some(OpenDecision {
-                    change: change.clone(),
-                    seen: now,
-                })
-            }
-            edge::ClaimPurpose::Reserve
-            | edge::ClaimPurpose::Ended
-            | edge::ClaimPurpose::Promoted(_) => None,
-        };
-        *self.open_decision.borrow_mut() = open;
-    }
-
-    /// Records a decision that this VM did not learn of from the store. Its number may already be
-    /// known as a reserved one. Returns `false` if a later number is known.
-    pub fn open_decision(
-        &self,
-        number: edge::RevisionNumber,
-        change: primary_change::PrimaryChange,
-        now: time::Duration,
-    ) -> bool {
-        if number < self.latest_decision.get() {
-            return false;
-        }
-        if number > self.latest_decision.get() {
-            self.successor_position.set(None);
-        }
-        self.latest_decision.set(number);
-        self.reserved_number.set(None);
-        self.decision_seen_at.set(Some(now));
-        *self.open_decision.borrow_mut() = Some(OpenDecision { change, seen: now });
-        true
-    }
-
-    /// Returns the change made by the decision that may still be in progress. A decision is closed
-    /// by the VM that made it, so if that VM has died it counts as in progress until it expires.
-    #[must_use]
-    pub fn open_change(&self, now: time::Duration) -> Option<primary_change::PrimaryChange> {
-        let open = self.open_decision.borrow();
-        let open = open.as_ref()?;
-        (now.saturating_sub(open.seen) < limits::DECISION_EXPIRY).then(|| open.change.clone())
-    }
-
-    /// Returns whether the primary may be about to change: a decision is in progress.
-    #[must_use]
-    pub fn is_changing(&self, now: time::Duration) -> bool {
-        self.is_deciding() || self.open_change(now).is_some()
-    }
-
-    /// Returns whether a decision has been open for longer than a decision can take: its VM has
-    /// died or could not close it.
-    #[must_use]
-    pub fn is_abandoned(&self, now: time::Duration) -> bool {
-        let open = self.open_decision.borrow();
-        open.as_ref().is_some_and(|open| {
-            let age = now.saturating_sub(open.seen);
-            age > limits::DECISION_ABANDONED && age < limits::DECISION_EXPIRY
-        })
-    }
-
-    /// Records the number of the decision that this VM makes.
-    pub fn set_own_decision(&self, number: edge::RevisionNumber) {
-        self.own_decision.set(number);
-    }
-
-    /// Returns the number of this VM's latest decision.
-    #[must_use]
-    pub fn own_decision(&self) -> edge::RevisionNumber {
-        self.own_decision.get()
-    }
-
-    /// Records that the next primary holds a position, and with it all earlier ones of its term.
-    pub fn record_successor_position(&self, position: log_position::LogPosition) {
-        self.successor_position
-            .set(self.successor_position.get().max(Some(position)));
-    }
-
-    /// Returns whether the next primary is known to hold a position.
-    #[must_use]
-    pub fn successor_holds(&self, position: log_position::LogPosition) -> bool {
-        self.successor_position
-            .get()
-            .is_some_and(|kept| kept.term == position.term && kept.offset >= position.offset)
-    }
-
     /// Sets whether a commit is being checked, and returns the previous value. One check at a time
     /// suffices for all waiting commits.
     pub fn set_checking_commit(&self, checking: bool) -> bool {
         self.checking_commit.replace(checking)
     }
 
-    /// Stores a number that this VM claimed in reserve, if it is still the latest one.
-    pub fn set_reserved_number(&self, number: edge::RevisionNumber) {
-        if number == self.latest_decision.get() {
-            self.reserved_number.set(Some(number));
-        }
-    }
-
-    /// Gives up the reserved number, since the store no longer has its claim.
-    pub fn drop_reserved_number(&self) {
-        self.reserved_number.set(None);
-    }
-
-    /// Returns whether this VM has a reserved number.
-    #[must_use]
-    pub fn has_reserved_number(&self) -> bool {
-        self.reserved_number.get().is_some()
-    }
-
-    /// Takes the reserved number. It can be used for one decision only: a delayed promotion call
-    /// with the same number for another upstream could otherwise undo the newer promotion.
-    pub fn take_reserved_number(&self) -> Option<edge::RevisionNumber> {
-        self.reserved_number.take()
-    }
-
-    /// Returns the number of the latest known decision.
-    #[must_use]
-    pub fn latest_decision(&self) -> edge::RevisionNumber {
-        self.latest_decision.get()
-    }
-
-    /// Returns when the latest decision became known.
-    #[must_use]
-    pub fn decision_seen_at(&self) -> Option<time::Duration> {
-        self.decision_seen_at.get()
-    }
-
-    /// Records that a replica was removed at `now`, a time of [`edge::NodeEdge::boot_time`], that
+    /// Records that a replica was removed at `now`, a time of [`crate::node::edge::NodeEdge::boot_time`], that
     /// left without being known to be fenced.
     pub fn record_leaver_gone(&self, now: time::Duration) {
         self.leaver_gone_at.set(Some(now));
@@ -457,22 +298,10 @@
 
     /// Returns when such a replica was last removed.
     #[must_use]
-    pub fn leaver_gone_at(&self) -> Option<time::Duration> {
+    pub const fn leaver_gone_at(&self) -> Option<time::Duration> {
         self.leaver_gone_at.get()
     }
 
-    /// Records that a decision of this VM ended at `now`; the next one is due only after a
-    /// cooldown.
-    pub fn record_decision_ended(&self, now: time::Duration) {
-        self.decision_ended_at.set(Some(now));
-    }
-
-    /// Returns when the last decision of this VM ended.
-    #[must_use]
-    pub fn decision_ended_at(&self) -> Option<time::Duration> {
-        self.decision_ended_at.get()
-    }
-
     /// Returns the highest term that this node knows of.
     #[must_use]
     pub fn term(&self) -> ids::TermNumber {
@@ -486,15 +315,4 @@
             ..log_knowledge::LogKnowledge::default()
         });
     }
-
-    /// Sets whether a decision of this VM is running.
-    pub fn set_deciding(&self, deciding: bool) {
-        self.deciding.set(deciding);
-    }
-
-    /// Returns whether a decision of this VM is running.
-    #[must_use]
-    pub fn is_deciding(&self) -> bool {
-        self.deciding.get()
-    }
 }
--- a/src/node/leadership.rs
+++ b/src/node/leadership.rs
@@ -148,6 +148,7 @@
 /// may still be open because its VM does not reach the store.
 fn may_end(group: &group::GroupState, term: ids::TermNumber) -> bool {
     group
+        .decisions
         .open_change(node_tables::monotonic_now())
         .is_some_and(|change| change.ends >= term)
 }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -18,6 +18,7 @@
 pub mod connections;
 mod counted_upstreams;
 pub mod decision;
+pub mod decision_record;
 pub mod edge;
 pub mod entry_age;
 pub mod era_revision;
--- a/src/node/monitor.rs
+++ b/src/node/monitor.rs
@@ -113,7 +113,7 @@
             _ => now,
         };
         since = Some((problem, begun));
-        if group.is_deciding() || !is_due(&tables, &group, problem, begun, now) {
+        if group.decisions.is_deciding() || !is_due(&tables, &group, problem, begun, now) {
             continue;
         }
         since = None;
@@ -139,7 +139,10 @@
     if pool.read_entry(|entry| entry.leaving) {
         return Some(GroupProblem::Leaving);
     }
-    group.is_abandoned(now).then_some(GroupProblem::Abandoned)
+    group
+        .decisions
+        .is_abandoned(now)
+        .then_some(GroupProblem::Abandoned)
 }
 
 fn is_due<E: edge::NodeEdge>(
@@ -160,10 +163,10 @@
         moment.is_some_and(|moment| now.saturating_sub(moment) < span)
     };
     // An upstream that is leaving may just have been promoted, and has to hand over in time.
-    let is_over = problem == GroupProblem::Leaving && group.open_change(now).is_none();
+    let is_over = problem == GroupProblem::Leaving && group.decisions.open_change(now).is_none();
     now.saturating_sub(begun) >= min_duration
-        && !is_recent(group.decision_ended_at(), limits::DECISION_COOLDOWN)
-        && (is_over || !is_recent(group.decision_seen_at(), limits::DECISION_HOLD_OFF))
+        && !is_recent(group.decisions.ended_at(), limits::DECISION_COOLDOWN)
+        && (is_over || !is_recent(group.decisions.seen_at(), limits::DECISION_HOLD_OFF))
 }
 
 fn spawn_decision<E: edge::NodeEdge>(
@@ -171,8 +174,8 @@
     group: &rc::Rc<group::GroupState>,
     problem: GroupProblem,
 ) {
-    group.set_deciding(true);
-    let previous = group.latest_decision();
+    group.decisions.set_deciding(true);
+    let previous = group.decisions.latest();
     let tables = rc::Rc::clone(tables);
     let group = rc::Rc::clone(group);
     tokio::task::spawn_local(async move {
@@ -187,22 +190,22 @@
                     ("reason", missing),
                 ],
             );
-            group.set_deciding(false);
+            group.decisions.set_deciding(false);
             return;
         }
         node_log::warn(
             "decision_ended",
             &[
                 ("group", &group.group),
-                ("decision", &group.latest_decision()),
+                ("decision", &group.decisions.latest()),
                 ("trouble", &problem),
                 ("end", &end),
             ],
         );
         metrics::counter!("persimmontack_decisions_total", "trouble" => problem.to_string())
             .increment(1);
-        group.record_decision_ended(node_tables::monotonic_now());
-        group.set_deciding(false);
+        group.decisions.record_ended(node_tables::monotonic_now());
+        group.decisions.set_deciding(false);
         tables.changed.notify_waiters();
     });
 }
@@ -214,14 +217,15 @@
     now: time::Duration,
 ) {
     let busy = group
-        .decision_seen_at()
+        .decisions
+        .seen_at()
         .is_some_and(|moment| now.saturating_sub(moment) < limits::DECISION_HOLD_OFF);
-    let open = group.open_change(now).is_some();
-    let wanted = tables.store_available.get() && !group.is_deciding() && !busy && !open;
-    if !wanted || group.has_reserved_number() || tables.decision_rank(group) > 0 {
+    let open = group.decisions.open_change(now).is_some();
+    let wanted = tables.store_available.get() && !group.decisions.is_deciding() && !busy && !open;
+    if !wanted || group.decisions.has_reserved() || tables.decision_rank(group) > 0 {
         return;
     }
-    let previous = group.latest_decision();
+    let previous = group.decisions.latest();
     let tables = rc::Rc::clone(tables);
     let group = rc::Rc::clone(group);
     tokio::task::spawn_local(async move {
@@ -257,7 +261,7 @@
     let is_staying = |pool: &pool::UpstreamPool<E>| {
         *pool.upstream() != primary && !is_leaving(pool) && !pool.is_suspect()
     };
-    if group.is_deciding() || !pools.iter().any(|pool| is_staying(pool)) {
+    if group.decisions.is_deciding() || !pools.iter().any(|pool| is_staying(pool)) {
         return;
     }
     for pool in pools {
--- a/src/node/node_tables.rs
+++ b/src/node/node_tables.rs
@@ -477,7 +477,7 @@
         metrics::counter!("persimmontack_store_restores_total").increment(1);
         self.isolation.record_restore(self.edge.boot_time());
         for group in self.groups() {
-            group.drop_reserved_number();
+            group.decisions.drop_reserved();
         }
         self.restored.notify_one();
     }
--- a/src/node/notices.rs
+++ b/src/node/notices.rs
@@ -120,8 +120,11 @@
         }
     };
     let group = tables.group(&notice.group);
-    let is_news = notice.number > group.latest_decision();
-    let opened = group.open_decision(notice.number, notice.change, node_tables::monotonic_now());
+    let is_news = notice.number > group.decisions.latest();
+    let opened =
+        group
+            .decisions
+            .open_decision(notice.number, notice.change, node_tables::monotonic_now());
     if is_news || !opened {
         node_log::info(
             "decision_told",
@@ -129,13 +132,13 @@
                 ("group", &group.group),
                 ("decision", &notice.number),
                 ("vm", &vm),
-                ("latest", &group.latest_decision()),
+                ("latest", &group.decisions.latest()),
             ],
         );
     }
     let pools = tables.pools_of(&group.group);
     let reply = NoticeReply {
-        latest: group.latest_decision(),
+        latest: group.decisions.latest(),
         log: group.log_knowledge(),
         listed: pools.iter().map(|pool| pool.upstream().clone()).collect(),
     };
--- a/src/node/peer_list.rs
+++ b/src/node/peer_list.rs
@@ -93,7 +93,7 @@
 
 /// Records the latest decision that a host knows, if this VM has not heard of it.
 fn record_decision(group: &group::GroupState, report: &GroupReport) {
-    if report.latest <= group.latest_decision() {
+    if report.latest <= group.decisions.latest() {
         return;
     }
     let now = node_tables::monotonic_now();
@@ -101,7 +101,7 @@
         Some(change) => edge::ClaimPurpose::Now(change.clone()),
         None => edge::ClaimPurpose::Ended,
     };
-    group.record_claim(report.latest, &purpose, now);
+    group.decisions.record_claim(report.latest, &purpose, now);
 }
 
 async fn query_host<E: edge::NodeEdge>(
@@ -130,8 +130,8 @@
     let report = GroupReport {
         upstreams: pools.iter().map(|pool| pool.upstream().clone()).collect(),
         store_age: tables.isolation.store_answer_age(tables.edge.boot_time()),
-        latest: group.latest_decision(),
-        change: group.open_change(node_tables::monotonic_now()),
+        latest: group.decisions.latest(),
+        change: group.decisions.open_change(node_tables::monotonic_now()),
     };
     if let Err(error) = stream.writer.send_last(&report).await {
         node_log::debug("peer_lost", &[("vm", &vm), ("reason", &error)]);
--- a/src/node/reads.rs
+++ b/src/node/reads.rs
@@ -78,7 +78,10 @@
         let primary = tables.primary_pool(&self.group);
         self.route.policy == config::ReadPolicy::Latest
             && primary.is_some_and(|pool| pool.is_closed())
-            && !self.group.is_changing(node_tables::monotonic_now())
+            && !self
+                .group
+                .decisions
+                .is_changing(node_tables::monotonic_now())
     }
 
     /// Returns whether an upstream that was not tried has room for the read at once.
@@ -141,11 +144,12 @@
                     start_attempt(tables, &running, &mut tried, plan, &job, pool, min_position);
                 }
                 _ => {
-                    let deadline = if plan.group.is_deciding() || plan.group.primary().is_none() {
-                        retry_deadline
-                    } else {
-                        refuse_deadline.min(retry_deadline)
-                    };
+                    let deadline =
+                        if plan.group.decisions.is_deciding() || plan.group.primary().is_none() {
+                            retry_deadline
+                        } else {
+                            refuse_deadline.min(retry_deadline)
+                        };
                     if plan.is_refused_by_leaver(tables) {
                         break failure(may_have_run, attempt::NotRun::Leaving);
                     }
--- a/src/node/status.rs
+++ b/src/node/status.rs
@@ -65,7 +65,7 @@
         group: group.group.clone(),
         primary: group.primary(),
         term: group.term(),
-        holder: group.has_reserved_number().then(|| tables.vm.clone()),
+        holder: group.decisions.has_reserved().then(|| tables.vm.clone()),
         upstreams: upstreams
             .iter()
             .map(|pool| {
--- a/src/node/successor_wait.rs
+++ b/src/node/successor_wait.rs
@@ -39,7 +39,7 @@
     }
     loop {
         let survey = log_survey::LogSurvey::take(tables, group).await;
-        if group.latest_decision() != previous {
+        if group.decisions.latest() != previous {
             return Err(decision::DecisionEnd::Overtaken);
         }
         if let Some(kept) = group.primary() {
--- a/src/node/table_follower.rs
+++ b/src/node/table_follower.rs
@@ -486,7 +486,7 @@
             }
             edge::ControlChange::Decision(group, claim) => {
                 let group = self.tables.group(&group);
-                if claim.number > group.latest_decision() {
+                if claim.number > group.decisions.latest() {
                     node_log::info(
                         "decision_seen",
                         &[
@@ -497,8 +497,12 @@
                         ],
                     );
                 }
-                let is_own = claim.vm == self.tables.vm && claim.number > group.latest_decision();
-                group.record_claim(claim.number, &claim.purpose, node_tables::monotonic_now());
+                let is_own = claim.vm == self.tables.vm && claim.number > group.decisions.latest();
+                group.decisions.record_claim(
+                    claim.number,
+                    &claim.purpose,
+                    node_tables::monotonic_now(),
+                );
                 if is_own && matches!(claim.purpose, edge::ClaimPurpose::Now(_)) {
                     self.close_abandoned(&group, claim.number);
                 }
@@ -513,15 +517,15 @@
     fn close_abandoned(&self, group: &rc::Rc<group::GroupState>, number: edge::RevisionNumber) {
         let tables = rc::Rc::clone(&self.tables);
         let group = rc::Rc::clone(group);
-        let may_have_called = group.is_deciding() || !tables.has_complete_list();
+        let may_have_called = group.decisions.is_deciding() || !tables.has_complete_list();
         tokio::task::spawn_local(async move {
-            while group.is_deciding() {
+            while group.decisions.is_deciding() {
                 tokio::time::sleep(limits::MONITOR_TICK).await;
             }
             if may_have_called {
                 tokio::time::sleep(limits::PROMOTION_EFFECT_TIMEOUT).await;
             }
-            if group.own_decision() != number {
+            if group.decisions.own() != number {
                 claims::spawn_close(&tables, &group, number);
             }
         });
--- a/src/node/writes.rs
+++ b/src/node/writes.rs
@@ -61,7 +61,7 @@
     loop {
         let primary = tables.primary_pool(group);
         let closed = primary.as_ref().is_some_and(|pool| pool.is_closed());
-        if closed && !group.is_changing(node_tables::monotonic_now()) {
+        if closed && !group.decisions.is_changing(node_tables::monotonic_now()) {
             return Err(attempt::NotRun::Leaving);
         }
         if let Some(pool) = primary
--- a/tests/node_failover.rs
+++ b/tests/node_failover.rs
@@ -180,7 +180,7 @@
             .await;
         let other = other.expect("a number");
         node.wait_until("the decision is seen", |node| {
-            node.tables.group("ledger").latest_decision() == other
+            node.tables.group("ledger").decisions.latest() == other
         })
         .await;
         node.instance("a", |instance| instance.up = false);
@@ -240,8 +240,10 @@
 fn a_reserved_number_serves_one_failover_without_the_store() {
     support::run(|node| async move {
         let group = node.tables.group("ledger");
-        node.wait_until("a number is reserved", |_node| group.has_reserved_number())
-            .await;
+        node.wait_until("a number is reserved", |_node| {
+            group.decisions.has_reserved()
+        })
+        .await;
         node.edge.change(|state| {
             state.store_up = false;
             state.instance("a").up = false;
@@ -250,7 +252,7 @@
             !node.promotions().is_empty()
         })
         .await;
-        assert!(!group.has_reserved_number());
+        assert!(!group.decisions.has_reserved());
         let successor = node.promotions().remove(0);
         node.wait_until("the successor is known", |node| node.primary() == successor)
             .await;
@@ -266,8 +268,10 @@
 fn a_later_claim_invalidates_a_reserved_number() {
     support::run(|node| async move {
         let group = node.tables.group("ledger");
-        node.wait_until("a number is reserved", |_node| group.has_reserved_number())
-            .await;
+        node.wait_until("a number is reserved", |_node| {
+            group.decisions.has_reserved()
+        })
+        .await;
         let edge = node.edge.clone();
         let previous = node.edge.state.borrow().decision;
         let other = edge
@@ -280,7 +284,7 @@
             .await;
         assert!(other.is_ok());
         node.wait_until("the reserved number is dropped", |_node| {
-            !group.has_reserved_number()
+            !group.decisions.has_reserved()
         })
         .await;
     });
--- a/tests/node_invalid_entries.rs
+++ b/tests/node_invalid_entries.rs
@@ -84,7 +84,7 @@
             state.list("x");
         });
         node.sleep(TAKEN_AFTER).await;
-        assert!(!node.tables.group("other").is_deciding());
+        assert!(!node.tables.group("other").decisions.is_deciding());
         assert!(node.promotions().is_empty());
     });
 }
--- a/tests/node_joining_upstreams.rs
+++ b/tests/node_joining_upstreams.rs
@@ -129,7 +129,7 @@
         let second = start(&edge, 2, "dc-a", 2).await;
         first.sleep(SETTLED_AFTER).await;
         let group = first.tables.group(cluster_state::GROUP);
-        let (reserve, lister) = if group.has_reserved_number() {
+        let (reserve, lister) = if group.decisions.has_reserved() {
             (&first, &second)
         } else {
             (&second, &first)
--- a/tests/node_leadership.rs
+++ b/tests/node_leadership.rs
@@ -121,6 +121,7 @@
         assert_eq!(
             node.tables
                 .group(cluster_state::GROUP)
+                .decisions
                 .open_change(Duration::ZERO),
             None
         );
@@ -140,7 +141,7 @@
         node.wait_until("b is the primary", |node| node.primary() == "b")
             .await;
         let group = node.tables.group(cluster_state::GROUP);
-        assert!(group.open_change(monotonic_now()).is_some());
+        assert!(group.decisions.open_change(monotonic_now()).is_some());
         let mut caller = node.caller(support::LATEST).await;
         let answer = caller.ask(support::read(), "READ item").await;
         assert_eq!(support::rows(&answer), [Bytes::from_static(b"one")]);
--- a/tests/node_lost_commits.rs
+++ b/tests/node_lost_commits.rs
@@ -151,12 +151,14 @@
         node.instance("a", |instance| instance.up = false);
         node.wait_until("b is fenced", |node| is_fenced(&node.edge, "b"))
             .await;
-        assert!(group.is_deciding());
+        assert!(group.decisions.is_deciding());
         let later = claim(&edge, "vm-2", None).await;
-        assert!(later > group.latest_decision());
+        assert!(later > group.decisions.latest());
         fence(&edge, &["b"]);
-        node.wait_until("the decision has ended", |_node| !group.is_deciding())
-            .await;
+        node.wait_until("the decision has ended", |_node| {
+            !group.decisions.is_deciding()
+        })
+        .await;
         for _tick in 0..100 {
             assert!(
                 is_fenced(&edge, "b"),
--- a/tests/node_outage_end.rs
+++ b/tests/node_outage_end.rs
@@ -36,7 +36,7 @@
             writes.keep_writing(&node);
             let group = node.tables.group(cluster_state::GROUP);
             // Without a reserved number, the decision needs the store.
-            group.drop_reserved_number();
+            group.decisions.drop_reserved();
             edge.change(|state| state.set_store_silent(true));
             let end = async {
                 tokio::time::sleep(OUTAGE).await;
@@ -52,7 +52,10 @@
             })
             .await;
             node.wait_until("the decision is closed", |_node| {
-                group.open_change(node_tables::monotonic_now()).is_none()
+                group
+                    .decisions
+                    .open_change(node_tables::monotonic_now())
+                    .is_none()
             })
             .await;
             assert_eq!(node.promotions().len(), 1, "{moment:?}");
--- a/tests/node_restored_store.rs
+++ b/tests/node_restored_store.rs
@@ -164,7 +164,7 @@
         })
         .await;
         assert!(!uninformed(&node));
-        let number = node.tables.group(cluster_state::GROUP).latest_decision();
+        let number = node.tables.group(cluster_state::GROUP).decisions.latest();
         assert_eq!(EraRevision::from_number(number).era, 1);
     });
 }
