--- a/src/node/acknowledgement.rs
+++ b/src/node/acknowledgement.rs
@@ -283,6 +283,8 @@
             ("upstream", &commit.upstream),
             ("position", &commit.position),
             ("decision", &commit.group.decisions.latest()),
+            ("primary", &commit.group.primary().as_deref().unwrap_or("-")),
+            ("term", &commit.group.term()),
             ("what", &what),
             ("elapsed_ms", &started.elapsed().as_millis()),
         ],
--- a/src/node/table_follower.rs
+++ b/src/node/table_follower.rs
@@ -494,6 +494,8 @@
                             ("decision", &claim.number),
                             ("vm", &claim.vm),
                             ("purpose", &claim.purpose),
+                            ("primary", &group.primary().as_deref().unwrap_or("-")),
+                            ("term", &group.term()),
                         ],
                     );
                 }
