--- a/src/decide/leadership.rs
+++ b/src/decide/leadership.rs
@@ -4,7 +4,7 @@
 //! A primary that was replaced while it was cut off may go on serving as one, so its own word does
 //! not prove that it leads. `docs/node.md`, "Who leads", gives the reasons for the rules.
 
-use crate::model::ids;
+use crate::model::{ids, log_position};
 
 /// What an upstream reports about itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -15,6 +15,8 @@
     pub term: ids::TermNumber,
     /// Term up to which it is fenced; 0 if it is not fenced.
     pub fenced: ids::TermNumber,
+    /// Last log position that it has received.
+    pub received: log_position::LogPosition,
 }
 
 /// An upstream of the group other than the primary, and its report if it has answered.
@@ -43,6 +45,9 @@
     pub vanished: bool,
     /// Whether a decision that ends the primary's term may be in progress.
     pub deciding: bool,
+    /// Whether a decision that ended the primary's term may be over, and what came of it is not known.
+    /// Its promotion would have lifted the fences, also of replicas that have not heard of it.
+    pub doubtful: bool,
 }
 
 /// Whether an upstream led its group when the reports were requested.
@@ -71,9 +76,7 @@
     reports: &[MemberReport],
     list: ListKnowledge,
 ) -> LeadVerdict {
-    let answered = reports
-        .iter()
-        .filter_map(|report| Some((report, report.role?)));
+    let answered = answers(reports);
     let latest = answered
         .clone()
         .filter(|(_, role)| role.term > term)
@@ -81,23 +84,66 @@
     if let Some((report, role)) = latest {
         return LeadVerdict::Superseded(role.primary.then(|| report.upstream.clone()));
     }
-    let all_deny = reports.iter().all(|report| report.role.is_some())
-        && reports.iter().any(|report| report.early);
-    let is_fenced =
-        |(report, role): (&MemberReport, RoleReport)| !report.leaving && role.fenced > term;
-    let explained = list.recent && list.deciding;
-    if all_deny
-        && (list.recent || !list.vanished)
-        && (explained || !answered.clone().any(is_fenced))
-    {
+    if all_deny(term, reports, list) {
         return LeadVerdict::Leads;
     }
-    let is_free = |(report, role): (&MemberReport, RoleReport)| {
-        let counted = report.early && report.recent && !report.leaving;
-        counted && role.fenced <= term
-    };
-    if !list.deciding && answered.clone().any(is_free) {
+    if !list.deciding && !list.doubtful && free_members(term, reports).next().is_some() {
         return LeadVerdict::Leads;
     }
     LeadVerdict::Unproved
 }
+
+/// Returns the highest position that every later primary holds, as far as the reports show.
+///
+/// A replica has received it that is not fenced and that every decision counts: a decision that is
+/// still to come compares it, and one that has compared it has fenced it. Without a recent list, a
+/// decision may not count a listed replica any more, so all that stay have to have received it.
+///
+/// A promotion lifts fences, so after a decision whose outcome is not known all upstreams have to
+/// deny that they lead.
+#[must_use]
+pub fn replicated_position(
+    term: ids::TermNumber,
+    reports: &[MemberReport],
+    list: ListKnowledge,
+) -> Option<log_position::LogPosition> {
+    let superseded = answers(reports).any(|(_, role)| role.term > term);
+    if superseded || list.deciding {
+        return None;
+    }
+    let all_deny = all_deny(term, reports, list);
+    let counted = free_members(term, reports).filter(|_| all_deny || !list.doubtful);
+    let by_counted = counted.map(|(_, role)| role.received).max();
+    let staying = answers(reports).filter(|(report, _)| all_deny && !report.leaving);
+    let by_all = staying.map(|(_, role)| role.received).min();
+    by_counted.max(by_all)
+}
+
+/// Returns the upstreams that have answered, with their reports.
+fn answers(reports: &[MemberReport]) -> impl Iterator<Item = (&MemberReport, RoleReport)> + Clone {
+    reports
+        .iter()
+        .filter_map(|report| Some((report, report.role?)))
+}
+
+/// Returns the upstreams that every decision counts and that none has fenced.
+fn free_members(
+    term: ids::TermNumber,
+    reports: &[MemberReport],
+) -> impl Iterator<Item = (&MemberReport, RoleReport)> {
+    answers(reports).filter(move |(report, role)| {
+        let counted = report.early && report.recent && !report.leaving;
+        counted && role.fenced <= term
+    })
+}
+
+/// Returns whether all upstreams have answered, none of them leads, and no fence is unexplained. One
+/// that knows a later term is expected to have been ruled out.
+fn all_deny(term: ids::TermNumber, reports: &[MemberReport], list: ListKnowledge) -> bool {
+    let complete = reports.iter().all(|report| report.role.is_some())
+        && reports.iter().any(|report| report.early);
+    let explained = list.recent && list.deciding;
+    let is_fenced =
+        |(report, role): (&MemberReport, RoleReport)| !report.leaving && role.fenced > term;
+    complete && (list.recent || !list.vanished) && (explained || !answers(reports).any(is_fenced))
+}
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -3,6 +3,7 @@
 //! program can drive it deterministically.
 
 pub mod admission_budget;
+pub mod commit_evidence;
 pub mod commit_outcome;
 pub mod connection_plan;
 pub mod customer_queue;
--- a/src/model/term_start.rs
+++ b/src/model/term_start.rs
@@ -17,3 +17,15 @@
     /// Last position of the primary's log before the first entry of the term.
     pub position: log_position::LogPosition,
 }
+
+impl TermStart {
+    /// Returns whether the log of this term holds a position of an earlier term, or `None` if the start
+    /// does not tell, since it lies in a term between the two.
+    #[must_use]
+    pub fn holds(&self, position: log_position::LogPosition) -> Option<bool> {
+        if self.position.term > position.term {
+            return None;
+        }
+        Some(self.position >= position)
+    }
+}
--- a/src/node/acknowledgement.rs
+++ b/src/node/acknowledgement.rs
@@ -1,20 +1,27 @@
 //! Decides whether a commit that an upstream has acknowledged survives a change of the primary.
 //!
-//! An upstream acknowledges a commit once one replica has received it. While the primary is being
-//! replaced, that replica may not be among those that were compared to choose the successor: it may
-//! have joined later, or resumed receiving. A commit of a term that may be ending is therefore
-//! reported to the caller only once the successor holds it. See `docs/node.md`, "Acknowledgements
-//! while the primary changes".
+//! An upstream acknowledges a commit once one replica has received it. If the primary is replaced,
+//! that replica may not be among those that are compared to choose the successor: it may have
+//! joined later, or resumed receiving. A commit is therefore reported to the caller only with
+//! evidence that every later primary holds it, which [`commit_evidence`] judges. See
+//! `docs/node.md`, "Acknowledgements while the primary changes".
+//!
+//! [`commit_evidence`]: crate::decide::commit_evidence
 
+use std::cell;
 use std::rc;
 use std::time;
 
 use futures::future;
 use tokio::time::Instant;
 
+use crate::decide::commit_evidence::{
+    self, CommitEvidence, CommitKnowledge, CommitVerdict, MissingEvidence,
+};
 use crate::model::{ids, log_position};
 use crate::node::{
-    commit_moment, edge, group, isolation, limits, node_log, node_tables, pool, probe, request,
+    commit_moment, edge, group, isolation, leadership, limits, node_log, node_tables, pool, probe,
+    request,
 };
 
 /// A commit that an upstream has acknowledged.
@@ -30,188 +37,288 @@
     pub position: log_position::LogPosition,
     /// When the commit was sent.
     pub moment: commit_moment::CommitMoment,
+    /// When the caller is told at the latest that the outcome is unknown.
+    pub deadline: Instant,
 }
 
-/// Why the acknowledgement of an upstream is not sufficient.
-#[derive(Clone, Debug, PartialEq, Eq)]
-enum UnconfirmedReason {
-    /// The primary is being replaced, by the given upstream or by one that is not known yet.
-    Replaced(Option<ids::UpstreamId>),
-    /// This VM may have missed a decision to replace the primary.
-    Uninformed,
-    /// The store is unavailable, so this VM learns of decisions only from other VMs.
-    WithoutStore,
-    /// No other data centre is known to have been reachable since the acknowledgement.
-    Unreached,
-    /// The replica that confirmed the commit may be one that leaves, and takes its log with it.
-    Leaving,
-}
-
-/// Waits until the commit is known to survive a change of the primary.
-///
-/// Does not complete as long as the outcome is unknown.
+/// Waits until the commit is known to survive a change of the primary, and no longer than until its
+/// deadline.
 ///
 /// # Errors
 ///
-/// Fails if the new primary lacks the commit.
+/// Fails with the reason if the new primary lacks the commit, or if the outcome is not known in time.
 pub async fn await_durable<E: edge::NodeEdge>(
-    tables: &node_tables::NodeTables<E>,
+    tables: &rc::Rc<node_tables::NodeTables<E>>,
     commit: &AcknowledgedCommit,
 ) -> Result<(), String> {
-    let started = Instant::now();
-    let acknowledged = node_tables::monotonic_now();
-    let mut held = false;
-    let mut lacking_since = None;
-    let result = loop {
-        let Some(reason) = unconfirmed_reason(tables, commit, acknowledged) else {
-            break Ok(());
-        };
-        if reason == UnconfirmedReason::Unreached {
-            probe_other_centres(tables, commit).await;
-            continue;
+    let wait = CommitWait {
+        tables,
+        commit,
+        started: Instant::now(),
+        acknowledged: node_tables::monotonic_now(),
+        missing: cell::Cell::default(),
+        held: cell::Cell::default(),
+    };
+    match tokio::time::timeout_at(commit.deadline, wait.await_verdict()).await {
+        Ok(Ok(evidence)) => {
+            let evidence = evidence.to_string();
+            wait.log_settled("kept", &evidence);
+            metrics::counter!("persimmontack_commits_told_total", "evidence" => evidence)
+                .increment(1);
+            Ok(())
         }
-        if !std::mem::replace(&mut held, true) {
-            log_commit(commit, "commit_held", &format!("{reason:?}"), started);
+        Ok(Err(reason)) => {
+            wait.log_settled("dropped", &reason);
+            Err(reason)
         }
-        let decision = commit.group.decisions.latest();
-        let kept = check_commit(tables, commit, &reason).await;
-        if kept == Some(true) && commit.group.decisions.latest() == decision {
-            commit
-                .group
-                .decisions
-                .record_successor_position(commit.position);
-            break Ok(());
+        Err(_elapsed) => {
+            let missing = wait.missing.get().map(|missing| missing.to_string());
+            let missing = missing.unwrap_or_default();
+            wait.log_settled("unknown", &missing);
+            Err(format!(
+                "acknowledged, but not known to survive a change of the primary: {missing}"
+            ))
         }
-        let is_promoted = matches!(&reason, UnconfirmedReason::Replaced(Some(successor))
-            if commit.group.is_primary(successor));
-        if kept == Some(false) && is_promoted {
-            let since: Instant = *lacking_since.get_or_insert_with(Instant::now);
-            if since.elapsed() > limits::COMMIT_APPLY_TIMEOUT {
-                break Err("the new primary lacks the commit".to_owned());
+    }
+}
+
+/// The wait for the evidence that one commit survives.
+struct CommitWait<'a, E: edge::NodeEdge> {
+    tables: &'a rc::Rc<node_tables::NodeTables<E>>,
+    commit: &'a AcknowledgedCommit,
+    started: Instant,
+    /// When the commit was acknowledged, by the monotonic clock.
+    acknowledged: time::Duration,
+    /// What the commit waits for.
+    missing: cell::Cell<Option<MissingEvidence>>,
+    /// Whether the wait was logged.
+    held: cell::Cell<bool>,
+}
+
+impl<E: edge::NodeEdge> CommitWait<'_, E> {
+    async fn await_verdict(&self) -> Result<CommitEvidence, String> {
+        let mut lacking_since = None;
+        let mut proved_since = self.commit.moment.sent_at;
+        loop {
+            let missing = match judge(self.tables, self.commit, self.acknowledged) {
+                CommitVerdict::Kept(evidence) => return Ok(evidence),
+                CommitVerdict::Lost => {
+                    return Err("a later term began without the commit".to_owned());
+                }
+                CommitVerdict::Unknown(missing) => missing,
+            };
+            let earlier = self.missing.replace(Some(missing));
+            match missing {
+                MissingEvidence::Unreached => {
+                    spawn_check(probe_other_centres(
+                        self.tables.clone(),
+                        self.commit.clone(),
+                    ))
+                    .await;
+                    continue;
+                }
+                MissingEvidence::Unreplicated => {
+                    if earlier == Some(missing) {
+                        self.log_held(missing);
+                    }
+                    let group = &self.commit.group;
+                    let advanced = group.proof.advanced.notified();
+                    leadership::prove_primary(self.tables, group, proved_since).await;
+                    proved_since = self.tables.edge.boot_time();
+                    let is_told = matches!(
+                        judge(self.tables, self.commit, self.acknowledged),
+                        CommitVerdict::Kept(_)
+                    );
+                    if !is_told {
+                        // A replica that answers later may hold the commit.
+                        tokio::select! {
+                            () = advanced => {}
+                            () = tokio::time::sleep(limits::COMMIT_CHECK_PAUSE) => {}
+                        }
+                    }
+                    continue;
+                }
+                MissingEvidence::Replaced | MissingEvidence::Uninformed => self.log_held(missing),
+            }
+            let group = &self.commit.group;
+            let decision = group.decisions.latest();
+            let successor = find_successor(self.commit);
+            let check = check_commit(
+                self.tables.clone(),
+                self.commit.clone(),
+                missing,
+                successor.clone(),
+            );
+            let kept = spawn_check(check).await.flatten();
+            if kept == Some(true) && group.decisions.latest() == decision {
+                group
+                    .decisions
+                    .record_successor_position(self.commit.position);
+                return Ok(match missing {
+                    MissingEvidence::Uninformed => CommitEvidence::AllReplicas,
+                    _ => CommitEvidence::Successor,
+                });
+            }
+            let is_promoted = successor.is_some_and(|successor| group.is_primary(&successor));
+            if kept == Some(false) && is_promoted {
+                let since: Instant = *lacking_since.get_or_insert_with(Instant::now);
+                if since.elapsed() > limits::COMMIT_APPLY_TIMEOUT {
+                    return Err("the new primary lacks the commit".to_owned());
+                }
+            }
+            tokio::select! {
+                () = self.tables.changed.notified() => {}
+                () = tokio::time::sleep(limits::COMMIT_CHECK_PAUSE) => {}
             }
         }
-        tokio::select! {
-            () = tables.changed.notified() => {}
-            () = tokio::time::sleep(limits::COMMIT_CHECK_PAUSE) => {}
+    }
+
+    fn log_held(&self, missing: MissingEvidence) {
+        if !self.held.replace(true) {
+            self.log("commit_held", &missing, &"-");
         }
-    };
-    if held {
-        let outcome = if result.is_ok() { "kept" } else { "dropped" };
-        log_commit(commit, "commit_settled", outcome, started);
+    }
+
+    fn log_settled(&self, outcome: &'static str, evidence: &str) {
+        if !self.held.get() {
+            return;
+        }
+        self.log("commit_settled", &outcome, &evidence);
         metrics::counter!("persimmontack_commits_held_total", "outcome" => outcome).increment(1);
     }
-    result
+
+    fn log(
+        &self,
+        event: &'static str,
+        what: &dyn std::fmt::Display,
+        evidence: &dyn std::fmt::Display,
+    ) {
+        let commit = self.commit;
+        node_log::info(
+            event,
+            &[
+                ("request", &commit.request.id_text()),
+                ("group", &commit.group.group),
+                ("upstream", &commit.upstream),
+                ("position", &commit.position),
+                ("decision", &commit.group.decisions.latest()),
+                ("primary", &commit.group.primary().as_deref().unwrap_or("-")),
+                ("term", &commit.group.term()),
+                ("what", what),
+                ("evidence", evidence),
+                ("elapsed_ms", &self.started.elapsed().as_millis()),
+            ],
+        );
+    }
+}
+
+fn judge<E: edge::NodeEdge>(
+    tables: &node_tables::NodeTables<E>,
+    commit: &AcknowledgedCommit,
+    acknowledged: time::Duration,
+) -> CommitVerdict {
+    let group = &commit.group;
+    let change = group.decisions.open_change(node_tables::monotonic_now());
+    let log = group.log_knowledge();
+    let knowledge = CommitKnowledge {
+        latest_term: log.term,
+        term_start: log.term_start,
+        successor_position: group.decisions.successor_position(),
+        ending_term: change.map(|change| change.ends),
+        leads: group.is_primary(&commit.upstream),
+        uninformed: tables
+            .isolation
+            .may_have_missed_decisions(tables.edge.boot_time()),
+        reached: is_other_centre_reached(tables, acknowledged),
+        replicated: group.proof.replicated(),
+    };
+    commit_evidence::judge_commit(commit.position, &knowledge)
+}
+
+/// Returns the upstream that replaces or has replaced the one that acknowledged the commit, if it is
+/// known.
+fn find_successor(commit: &AcknowledgedCommit) -> Option<ids::UpstreamId> {
+    let group = &commit.group;
+    let term = commit.position.term;
+    let change = group.decisions.open_change(node_tables::monotonic_now());
+    let planned = change
+        .filter(|change| change.may_drop(commit.position) && group.term() <= term)
+        .and_then(|change| change.successor);
+    // The upstream itself may have been promoted again.
+    let leads_later = group.primary_term().is_some_and(|later| later > term);
+    let leader = group
+        .primary()
+        .filter(|primary| *primary != commit.upstream || leads_later);
+    planned.or(leader)
+}
+
+/// Runs a check in a task of its own, so that its questions are not abandoned when the time of the
+/// commit is up: that would close their connections.
+async fn spawn_check<T: 'static>(check: impl Future<Output = T> + 'static) -> Option<T> {
+    match tokio::task::spawn_local(check).await {
+        Ok(result) => Some(result),
+        Err(error) => {
+            node_log::warn("commit_check_failed", &[("reason", &error)]);
+            None
+        }
+    }
 }
 
 /// Asks the upstreams that have to hold the commit whether they do. Returns `None` if the answer is
 /// not known, or if another commit of the group is being checked.
 async fn check_commit<E: edge::NodeEdge>(
-    tables: &node_tables::NodeTables<E>,
-    commit: &AcknowledgedCommit,
-    reason: &UnconfirmedReason,
+    tables: rc::Rc<node_tables::NodeTables<E>>,
+    commit: AcknowledgedCommit,
+    missing: MissingEvidence,
+    successor: Option<ids::UpstreamId>,
 ) -> Option<bool> {
-    let guard = CheckGuard::begin(&commit.group)?;
-    let kept = match reason {
-        UnconfirmedReason::Replaced(Some(successor)) => {
-            let pool = tables.pool(successor)?;
-            probe::holds_position(&pool, commit.position).await
-        }
-        UnconfirmedReason::Replaced(None) | UnconfirmedReason::Unreached => None,
-        UnconfirmedReason::Uninformed => all_replicas_hold(tables, commit).await.then_some(true),
-        UnconfirmedReason::WithoutStore | UnconfirmedReason::Leaving => {
-            any_replica_holds(tables, commit).await.then_some(true)
-        }
-    };
-    drop(guard);
-    kept
+    let _guard = CheckGuard::begin(&commit.group)?;
+    if missing == MissingEvidence::Uninformed {
+        return all_replicas_hold(&tables, &commit).await.then_some(true);
+    }
+    let pool = tables.pool(&successor?)?;
+    probe::holds_position(&pool, commit.position).await
 }
 
 /// Marks that a commit of the group is being checked; at most one check runs at a time.
-struct CheckGuard<'a> {
-    group: &'a group::GroupState,
+struct CheckGuard {
+    group: rc::Rc<group::GroupState>,
 }
 
-impl<'a> CheckGuard<'a> {
-    fn begin(group: &'a group::GroupState) -> Option<Self> {
-        (!group.set_checking_commit(true)).then_some(Self { group })
+impl CheckGuard {
+    fn begin(group: &rc::Rc<group::GroupState>) -> Option<Self> {
+        (!group.set_checking_commit(true)).then(|| Self {
+            group: rc::Rc::clone(group),
+        })
     }
 }
 
-impl Drop for CheckGuard<'_> {
+impl Drop for CheckGuard {
     fn drop(&mut self) {
         self.group.set_checking_commit(false);
     }
 }
 
-fn unconfirmed_reason<E: edge::NodeEdge>(
+fn is_other_centre_reached<E: edge::NodeEdge>(
     tables: &node_tables::NodeTables<E>,
-    commit: &AcknowledgedCommit,
-    acknowledged: time::Duration,
-) -> Option<UnconfirmedReason> {
-    let group = &commit.group;
-    if group.decisions.successor_holds(commit.position) {
-        return None;
-    }
-    let leader = group
-        .primary()
-        .filter(|primary| *primary != commit.upstream);
-    let change = group
-        .decisions
-        .open_change(node_tables::monotonic_now())
-        .filter(|change| change.may_drop(commit.position));
-    if let Some(change) = change {
-        return Some(UnconfirmedReason::Replaced(change.successor.or(leader)));
-    }
-    if !group.is_primary(&commit.upstream) {
-        return Some(UnconfirmedReason::Replaced(leader));
-    }
-    if tables
-        .isolation
-        .may_have_missed_decisions(tables.edge.boot_time())
-    {
-        return Some(UnconfirmedReason::Uninformed);
-    }
-    if !tables.store_available.get() {
-        return Some(UnconfirmedReason::WithoutStore);
-    }
+    since: time::Duration,
+) -> bool {
     let remote = isolation::remote_pools(tables);
     let is_reached = |pool: &rc::Rc<pool::UpstreamPool<E>>| {
         let reached = pool.health.get().last_reached();
-        reached.is_some_and(|reached| reached >= acknowledged)
-    };
-    if !remote.is_empty() && !remote.iter().any(is_reached) {
-        return Some(UnconfirmedReason::Unreached);
-    }
-    may_rest_on_leaving(tables, commit).then_some(UnconfirmedReason::Leaving)
-}
-
-/// Returns whether a replica that leaves may have confirmed the commit: it was not known to be
-/// fenced when the commit was sent.
-fn may_rest_on_leaving<E: edge::NodeEdge>(
-    tables: &node_tables::NodeTables<E>,
-    commit: &AcknowledgedCommit,
-) -> bool {
-    let is_open = |pool: &rc::Rc<pool::UpstreamPool<E>>| {
-        let leaving = pool.read_entry(|entry| entry.leaving);
-        let fenced_at = pool.fence.since(&commit.upstream);
-        let fenced = fenced_at.is_some_and(|fenced_at| fenced_at <= commit.moment.sent_at);
-        leaving && *pool.upstream() != commit.upstream && !fenced
+        reached.is_some_and(|reached| reached >= since)
     };
-    let has_left = commit
-        .group
-        .leaver_gone_at()
-        .is_some_and(|gone_at| commit.moment.sent_at < gone_at + limits::LEAVER_GRACE);
-    has_left || tables.pools_of(&commit.group.group).iter().any(is_open)
+    remote.is_empty() || remote.iter().any(is_reached)
 }
 
 /// Probes an upstream in another data centre. A VM that is cut off detects it only after a timeout,
 /// and until then commits in its data centre may have been acknowledged by a replica that no VM
 /// elsewhere knows of.
 async fn probe_other_centres<E: edge::NodeEdge>(
-    tables: &node_tables::NodeTables<E>,
-    commit: &AcknowledgedCommit,
+    tables: rc::Rc<node_tables::NodeTables<E>>,
+    commit: AcknowledgedCommit,
 ) {
-    let mut remote = isolation::remote_pools(tables);
+    let mut remote = isolation::remote_pools(&tables);
     remote.retain(|pool| !pool.is_suspect());
     let nearest = remote
         .iter()
@@ -228,23 +335,16 @@
     drop(guard);
 }
 
-/// Returns the listed replicas that are not leaving. A failover compares all of them.
-fn staying_replicas<E: edge::NodeEdge>(
-    tables: &node_tables::NodeTables<E>,
-    commit: &AcknowledgedCommit,
-) -> Vec<rc::Rc<pool::UpstreamPool<E>>> {
-    let mut pools = tables.pools_of(&commit.group.group);
-    pools.retain(|pool| {
-        *pool.upstream() != commit.upstream && !pool.read_entry(|entry| entry.leaving)
-    });
-    pools
-}
-
+/// Returns whether every listed replica that is not leaving holds the commit. A failover compares
+/// all of them, and one that was fenced for it lacks the commit.
 async fn all_replicas_hold<E: edge::NodeEdge>(
     tables: &node_tables::NodeTables<E>,
     commit: &AcknowledgedCommit,
 ) -> bool {
-    let replicas = staying_replicas(tables, commit);
+    let mut replicas = tables.pools_of(&commit.group.group);
+    replicas.retain(|pool| {
+        *pool.upstream() != commit.upstream && !pool.read_entry(|entry| entry.leaving)
+    });
     if replicas.is_empty() || replicas.iter().any(|pool| pool.is_suspect()) {
         return false;
     }
@@ -254,39 +354,3 @@
     let answers = future::join_all(queries).await;
     answers.into_iter().all(|holds| holds == Some(true))
 }
-
-async fn any_replica_holds<E: edge::NodeEdge>(
-    tables: &node_tables::NodeTables<E>,
-    commit: &AcknowledgedCommit,
-) -> bool {
-    let mut replicas = staying_replicas(tables, commit);
-    replicas.retain(|pool| !pool.is_suspect());
-    let is_remote = |pool: &pool::UpstreamPool<E>| {
-        pool.read_entry(|entry| entry.data_centre != tables.own_entry.data_centre)
-    };
-    replicas.sort_by_key(|pool| is_remote(pool));
-    // Asked one at a time, since abandoning an unanswered request closes its connection.
-    for pool in replicas {
-        if probe::holds_position(&pool, commit.position).await == Some(true) {
-            return true;
-        }
-    }
-    false
-}
-
-fn log_commit(commit: &AcknowledgedCommit, event: &'static str, what: &str, started: Instant) {
-    node_log::info(
-        event,
-        &[
-            ("request", &commit.request.id_text()),
-            ("group", &commit.group.group),
-            ("upstream", &commit.upstream),
-            ("position", &commit.position),
-            ("decision", &commit.group.decisions.latest()),
-            ("primary", &commit.group.primary().as_deref().unwrap_or("-")),
-            ("term", &commit.group.term()),
-            ("what", &what),
-            ("elapsed_ms", &started.elapsed().as_millis()),
-        ],
-    );
-}
--- a/src/node/claims.rs
+++ b/src/node/claims.rs
@@ -2,7 +2,9 @@
 
 use std::rc;
 
-use crate::node::{edge, group, limits, node_log, node_tables, primary_change, term_search};
+use crate::node::{
+    decision_outcome, edge, group, limits, node_log, node_tables, primary_change, term_search,
+};
 
 /// Why no number could be claimed for a decision.
 #[derive(Clone, Debug, PartialEq, Eq, derive_more::Display)]
@@ -107,8 +109,8 @@
     }
 }
 
-/// Publishes in the store that a decision has ended and, if it is known, where the primary's term
-/// began, unless a later number has been claimed.
+/// Publishes in the store that a decision has ended, with what came of it and, if it is known, where
+/// the primary's term began, unless a later number has been claimed.
 ///
 /// # Errors
 ///
@@ -117,13 +119,24 @@
     tables: &node_tables::NodeTables<E>,
     group: &group::GroupState,
     number: edge::RevisionNumber,
+    outcome: decision_outcome::DecisionOutcome,
 ) -> Result<(), edge::StoreError> {
     if group.decisions.latest() != number {
         return Err(edge::StoreError::Conflict);
     }
-    let purpose = match term_search::await_start(tables, group).await {
-        Some(start) => edge::ClaimPurpose::Promoted(start),
-        None => edge::ClaimPurpose::Ended,
+    let start = term_search::await_start(tables, group).await;
+    let purpose = match (outcome, start) {
+        (decision_outcome::DecisionOutcome::Kept, start) => edge::ClaimPurpose::Kept(start),
+        (
+            decision_outcome::DecisionOutcome::Promoted
+            | decision_outcome::DecisionOutcome::Unknown,
+            Some(start),
+        ) => edge::ClaimPurpose::Promoted(start),
+        (
+            decision_outcome::DecisionOutcome::Promoted
+            | decision_outcome::DecisionOutcome::Unknown,
+            None,
+        ) => edge::ClaimPurpose::Ended,
     };
     let ended = claim(tables, group, number, &purpose).await?;
     node_log::info(
@@ -144,11 +157,12 @@
     tables: &rc::Rc<node_tables::NodeTables<E>>,
     group: &rc::Rc<group::GroupState>,
     number: edge::RevisionNumber,
+    outcome: decision_outcome::DecisionOutcome,
 ) {
     let tables = rc::Rc::clone(tables);
     let group = rc::Rc::clone(group);
     tokio::task::spawn_local(async move {
-        let _superseded = close_with_retry(&tables, &group, number).await;
+        let _superseded = close_with_retry(&tables, &group, number, outcome).await;
     });
 }
 
@@ -158,9 +172,10 @@
     tables: &node_tables::NodeTables<E>,
     group: &group::GroupState,
     number: edge::RevisionNumber,
+    outcome: decision_outcome::DecisionOutcome,
 ) -> bool {
     loop {
-        match close_decision(tables, group, number).await {
+        match close_decision(tables, group, number, outcome).await {
             Ok(()) => return true,
             Err(edge::StoreError::Conflict) => return false,
             Err(error) => node_log::debug(
--- a/src/node/decision_record.rs
+++ b/src/node/decision_record.rs
@@ -3,7 +3,7 @@
 use std::cell;
 use std::time;
 
-use crate::model::log_position;
+use crate::model::{ids, log_position};
 use crate::node::{edge, limits, primary_change};
 
 /// A decision that may still be in progress.
@@ -11,15 +11,23 @@
 struct OpenDecision {
     change: primary_change::PrimaryChange,
     seen: time::Duration,
+    /// Last term that this decision ends, or an earlier one that it took over.
+    ends: ids::TermNumber,
 }
 
 /// What a VM knows of the decisions on the primary of a group. Times are those of the monotonic
 /// clock.
+///
+/// An end says that a decision is over, not what it did. Unless it says that the primary was kept,
+/// the primary may have been replaced, and the VM may see the end before it hears of the successor.
+/// See `docs/node.md`, "Acknowledgements while the primary changes".
 #[derive(Debug, Default)]
 pub struct DecisionRecord {
     latest: cell::Cell<edge::RevisionNumber>,
     seen_at: cell::Cell<Option<time::Duration>>,
     open: cell::RefCell<Option<OpenDecision>>,
+    /// Last term that a decision may have ended which is over, and whose outcome is not known.
+    doubtful: cell::Cell<ids::TermNumber>,
     /// Number of this VM's latest decision.
     own: cell::Cell<edge::RevisionNumber>,
     ended_at: cell::Cell<Option<time::Duration>>,
@@ -43,12 +51,33 @@
         self.set_latest(number);
         match purpose {
             edge::ClaimPurpose::Now(change) => self.begin(change.clone(), now),
+            edge::ClaimPurpose::Kept(_) => *self.open.borrow_mut() = None,
             edge::ClaimPurpose::Reserve
             | edge::ClaimPurpose::Ended
-            | edge::ClaimPurpose::Promoted(_) => *self.open.borrow_mut() = None,
+            | edge::ClaimPurpose::Promoted(_) => {
+                if let Some(open) = self.open.take() {
+                    self.add_doubt(open.ends);
+                }
+            }
         }
     }
 
+    /// Records a claimed decision number that does not follow the latest known one for certain. A
+    /// decision that ended `term` may have been made in between.
+    pub fn record_claim_after_gap(
+        &self,
+        number: edge::RevisionNumber,
+        purpose: &edge::ClaimPurpose,
+        term: ids::TermNumber,
+        now: time::Duration,
+    ) {
+        // A VM that knows no decision at all has just started, and has told no caller of a commit.
+        if number > self.latest.get() && self.latest.get() > 0 {
+            self.add_doubt(term);
+        }
+        self.record_claim(number, purpose, now);
+    }
+
     /// Records a decision that this VM did not learn of from the store. Its number may already be
     /// known as a reserved one. Returns `false` if a later number is known.
     pub fn open_decision(
@@ -75,9 +104,20 @@
         self.reserved.set(None);
     }
 
+    /// The VM that makes a decision rules out the one that it takes over, so their outcome is one.
     fn begin(&self, change: primary_change::PrimaryChange, now: time::Duration) {
         self.seen_at.set(Some(now));
-        *self.open.borrow_mut() = Some(OpenDecision { change, seen: now });
+        let mut open = self.open.borrow_mut();
+        let earlier = open.as_ref().map_or(0, |open| open.ends);
+        *open = Some(OpenDecision {
+            ends: change.ends.max(earlier),
+            change,
+            seen: now,
+        });
+    }
+
+    fn add_doubt(&self, term: ids::TermNumber) {
+        self.doubtful.set(self.doubtful.get().max(term));
     }
 
     /// Returns the change made by the decision that may still be in progress. A decision is closed
@@ -89,6 +129,32 @@
         (now.saturating_sub(open.seen) < limits::DECISION_EXPIRY).then(|| open.change.clone())
     }
 
+    /// Returns whether a decision may have ended `term` that is over or has expired, and whose
+    /// outcome is not known.
+    #[must_use]
+    pub fn is_doubtful(&self, term: ids::TermNumber) -> bool {
+        let open = self.open.borrow();
+        let unsettled = open.as_ref().map_or(0, |open| open.ends);
+        self.doubtful.get().max(unsettled) >= term
+    }
+
+    /// Records that the primary of `term` was proved to lead by questions that were sent after the
+    /// decision `latest` had become known: no decision that is over has replaced it.
+    pub fn record_proof(
+        &self,
+        latest: edge::RevisionNumber,
+        term: ids::TermNumber,
+        now: time::Duration,
+    ) {
+        if latest != self.latest.get() || self.open_change(now).is_some() {
+            return;
+        }
+        if self.doubtful.get() <= term {
+            self.doubtful.set(0);
+        }
+        self.open.borrow_mut().take_if(|open| open.ends <= term);
+    }
+
     /// Returns whether the primary may be about to change: a decision is in progress.
     #[must_use]
     pub fn is_changing(&self, now: time::Duration) -> bool {
@@ -123,12 +189,10 @@
             .set(self.successor_position.get().max(Some(position)));
     }
 
-    /// Returns whether the next primary is known to hold a position.
+    /// Returns the highest position that the next primary is known to hold.
     #[must_use]
-    pub fn successor_holds(&self, position: log_position::LogPosition) -> bool {
-        self.successor_position
-            .get()
-            .is_some_and(|kept| kept.term == position.term && kept.offset >= position.offset)
+    pub const fn successor_position(&self) -> Option<log_position::LogPosition> {
+        self.successor_position.get()
     }
 
     /// Stores a number that this VM claimed in reserve, if it is still the latest one.
--- a/src/node/edge.rs
+++ b/src/node/edge.rs
@@ -149,9 +149,13 @@
     /// In reserve, for a failover that may be needed while the store is unavailable.
     #[display("reserve")]
     Reserve,
-    /// To mark the end of the preceding decision.
+    /// To mark the end of the preceding decision, which may have replaced the primary.
     #[display("ended")]
     Ended,
+    /// To mark the end of the preceding decision, which has replaced no primary. The store reports the
+    /// start of the primary's term, if it is known, as a change of its own.
+    #[display("kept")]
+    Kept(Option<term_start::TermStart>),
     /// To mark the end of the preceding decision, whose primary began this term. The store reports
     /// both as changes of their own.
     #[display("promoted")]
--- a/src/node/failover.rs
+++ b/src/node/failover.rs
@@ -10,8 +10,9 @@
 
 use crate::model::ids;
 use crate::node::{
-    claims, command, decision, edge, group, limits, monitor, node_log, node_tables, notices, pool,
-    primary_change, probe, promotion, promotion_candidate, successor_wait,
+    claims, command, decision, decision_outcome, edge, group, limits, monitor, node_log,
+    node_tables, notices, pool, primary_change, probe, promotion, promotion_candidate,
+    successor_wait,
 };
 
 /// Claims a decision number, runs the decision, and cleans up after it. `previous` is the latest
@@ -139,14 +140,18 @@
     fenced: Vec<rc::Rc<pool::UpstreamPool<E>>>,
 ) {
     match end {
-        decision::DecisionEnd::Promoted(_) => claims::spawn_close(tables, group, number),
+        decision::DecisionEnd::Promoted(_) => {
+            let outcome = decision_outcome::DecisionOutcome::Promoted;
+            claims::spawn_close(tables, group, number, outcome);
+        }
         decision::DecisionEnd::Waiting(_)
         | decision::DecisionEnd::Overtaken
         | decision::DecisionEnd::Unsettled(_) => {}
         decision::DecisionEnd::Kept(_)
         | decision::DecisionEnd::Outdated
         | decision::DecisionEnd::GaveUp(_) => {
-            match claims::close_decision(tables, group, number).await {
+            let outcome = decision_outcome::DecisionOutcome::Kept;
+            match claims::close_decision(tables, group, number, outcome).await {
                 Ok(()) => lift_fences(group, number, &fenced).await,
                 Err(edge::StoreError::Conflict) => {}
                 Err(_unanswered) => finish_without_store(tables, group, number, fenced),
@@ -180,7 +185,8 @@
         if is_latest {
             lift_fences(&group, number, &fenced).await;
         }
-        if claims::close_with_retry(&tables, &group, number).await && !is_latest {
+        let outcome = decision_outcome::DecisionOutcome::Kept;
+        if claims::close_with_retry(&tables, &group, number, outcome).await && !is_latest {
             lift_fences(&group, number, &fenced).await;
         }
     });
--- a/src/node/group.rs
+++ b/src/node/group.rs
@@ -47,8 +47,6 @@
     pub decisions: decision_record::DecisionRecord,
     /// Whether a check runs for a commit whose acknowledgement is not sufficient.
     checking_commit: cell::Cell<bool>,
-    /// When a replica was last removed that left without being known to be fenced.
-    leaver_gone_at: cell::Cell<Option<time::Duration>>,
     /// Shares of the reads that leave the data centre.
     pub placement: group_placement::GroupPlacement,
 }
@@ -75,7 +73,6 @@
             commits_refused_until: cell::Cell::default(),
             decisions: decision_record::DecisionRecord::default(),
             checking_commit: cell::Cell::default(),
-            leaver_gone_at: cell::Cell::default(),
             placement: group_placement::GroupPlacement::default(),
         }
     }
@@ -290,18 +287,6 @@
         self.checking_commit.replace(checking)
     }
 
-    /// Records that a replica was removed at `now`, a time of [`crate::node::edge::NodeEdge::boot_time`], that
-    /// left without being known to be fenced.
-    pub fn record_leaver_gone(&self, now: time::Duration) {
-        self.leaver_gone_at.set(Some(now));
-    }
-
-    /// Returns when such a replica was last removed.
-    #[must_use]
-    pub const fn leaver_gone_at(&self) -> Option<time::Duration> {
-        self.leaver_gone_at.get()
-    }
-
     /// Returns the highest term that this node knows of.
     #[must_use]
     pub fn term(&self) -> ids::TermNumber {
--- a/src/node/lead_proof.rs
+++ b/src/node/lead_proof.rs
@@ -5,6 +5,7 @@
 
 use tokio::sync::Notify;
 
+use crate::model::log_position;
 use crate::node::limits;
 
 /// Result of the latest round of questions whether the primary leads.
@@ -22,6 +23,11 @@
     /// When the first of the latest rounds without a proof began.
     unproved_since: cell::Cell<Option<time::Duration>>,
     running: cell::Cell<bool>,
+    /// Highest position that every later primary holds, see
+    /// [`crate::decide::leadership::replicated_position`].
+    replicated: cell::Cell<Option<log_position::LogPosition>>,
+    /// Notified when that position has advanced.
+    pub advanced: Notify,
     /// Notified when a round ends.
     pub round_ended: Notify,
 }
@@ -54,10 +60,25 @@
         self.round_ended.notify_waiters();
     }
 
+    /// Records a position that every later primary holds.
+    pub fn record_replicated(&self, position: log_position::LogPosition) {
+        if self.replicated.get() < Some(position) {
+            self.replicated.set(Some(position));
+            self.advanced.notify_waiters();
+        }
+    }
+
+    /// Returns the highest position that every later primary is known to hold.
+    #[must_use]
+    pub const fn replicated(&self) -> Option<log_position::LogPosition> {
+        self.replicated.get()
+    }
+
     /// Forgets the latest result, since it is about an earlier primary.
     pub fn clear(&self) {
         self.latest.set(None);
         self.unproved_since.set(None);
+        self.replicated.set(None);
     }
 
     /// Returns for how long no round has proved that the primary leads.
--- a/src/node/leadership.rs
+++ b/src/node/leadership.rs
@@ -14,7 +14,7 @@
 use crate::decide::leadership::{self, LeadVerdict};
 use crate::model::ids;
 use crate::node::{
-    command, edge, group, limits, node_log, node_tables, peer_list, pool, probe, term_search,
+    command, edge, group, lead_round, node_log, node_tables, peer_list, pool, probe, term_search,
 };
 
 /// Returns whether the primary of the group still led at `since`, a time of
@@ -44,6 +44,7 @@
     group: &rc::Rc<group::GroupState>,
 ) {
     let began_at = tables.edge.boot_time();
+    let latest = group.decisions.latest();
     let primary = group.primary();
     let verdict = match &primary {
         Some(primary) => judge(tables, group, primary).await,
@@ -66,6 +67,10 @@
     if unchanged && let LeadVerdict::Superseded(successor) = verdict {
         tables.set_primary(group, successor.as_deref(), "superseded");
     }
+    if proved && let Some(term) = group.primary_term() {
+        let now = node_tables::monotonic_now();
+        group.decisions.record_proof(latest, term, now);
+    }
     group.end_round(began_at, proved);
 }
 
@@ -83,76 +88,46 @@
     if term < group.term() {
         return LeadVerdict::Superseded(None);
     }
-    let list = leadership::ListKnowledge {
-        recent: has_recent_list(tables),
-        vanished: group.counted.has_vanished(),
-        deciding: may_end(group, term),
-    };
-    let pools = tables.pools_of(&group.group);
-    let others = pools.into_iter().filter(|pool| pool.upstream() != primary);
-    let now = tables.edge.boot_time();
-    // All upstreams that were listed earlier may have gone. After this time, every decision that this
-    // VM may have missed has ended, and its successor is listed.
-    let unproved = group.proof.unproved_time(now);
-    let expired = list.recent && unproved > limits::DECISION_EXPIRY;
-    let mut reports = Vec::new();
+    let mut round = lead_round::LeadRound::begin(tables, group, primary, term);
     let mut queries = FuturesUnordered::new();
-    for pool in others {
-        let listed = list.recent || group.counted.contains(pool.upstream(), now);
-        let leaving = pool.read_entry(|entry| entry.leaving);
-        let early = expired || group.counted.is_early(pool.upstream());
-        reports.push(leadership::MemberReport {
-            upstream: pool.upstream().clone(),
-            leaving,
-            early,
-            recent: listed,
-            role: None,
-        });
-        if !pool.is_suspect() {
-            let index = reports.len() - 1;
+    for (index, report) in round.reports.iter().enumerate() {
+        if let Some(pool) = tables.pool(&report.upstream)
+            && !pool.is_suspect()
+        {
             queries.push(async move { (index, query_report(&pool).await) });
         }
     }
-    let mut verdict = leadership::judge_primary(term, &reports, list);
+    let mut verdict = round.verdict();
     while verdict == LeadVerdict::Unproved
         && let Some((index, role)) = queries.next().await
     {
-        if let Some(role) = role {
-            group.record_term(role.term);
-        }
-        if let Some(report) = reports.get_mut(index) {
-            report.role = role;
-        }
-        verdict = leadership::judge_primary(term, &reports, list);
+        round.add(index, role);
+        verdict = round.verdict();
     }
-    // Abandoning a question would close its connection.
-    tokio::task::spawn_local(async move { while queries.next().await.is_some() {} });
     if verdict == LeadVerdict::Leads {
         group.counted.clear_vanished();
-        for report in &reports {
+        for report in &round.reports {
             group.counted.add_early(&report.upstream);
         }
     }
-    let silent = reports.iter().any(|report| report.role.is_none());
+    let silent = round.reports.iter().any(|report| report.role.is_none());
     let doubtful = silent || verdict == LeadVerdict::Unproved;
-    if doubtful && !list.recent && tables.has_complete_list() {
+    if doubtful && !round.list.recent && tables.has_complete_list() {
         if tables.store_available.get() {
             tables.refresh.notify_one();
         }
         peer_list::spawn_query(tables, group);
     }
+    // Abandoning a question would close its connection, and a later answer may show that more of the
+    // log is replicated.
+    tokio::task::spawn_local(async move {
+        while let Some((index, role)) = queries.next().await {
+            round.add(index, role);
+        }
+    });
     verdict
 }
 
-/// Returns whether a decision may be in progress that ends `term`. One that ended an earlier term
-/// may still be open because its VM does not reach the store.
-fn may_end(group: &group::GroupState, term: ids::TermNumber) -> bool {
-    group
-        .decisions
-        .open_change(node_tables::monotonic_now())
-        .is_some_and(|change| change.ends >= term)
-}
-
 /// Returns the term in which an upstream acts as the primary, if it does.
 async fn primary_term<E: edge::NodeEdge>(
     group: &group::GroupState,
@@ -179,16 +154,10 @@
         primary: status.primary,
         term: status.term,
         fenced: status.fenced,
+        received: status.received,
     })
 }
 
-/// Returns whether every decision still counts the upstreams in the list: entries that vanish from
-/// the store are kept for [`limits::STORE_RETURN_GRACE`].
-fn has_recent_list<E: edge::NodeEdge>(tables: &node_tables::NodeTables<E>) -> bool {
-    let age = tables.isolation.store_answer_age(tables.edge.boot_time());
-    tables.has_complete_list() && age < limits::STORE_RETURN_GRACE
-}
-
 /// Records an upstream that answered as the primary of `term`: as the group's primary, or, if a
 /// later term is known, as an old one, which is told to step down. Returns whether it is the
 /// group's primary.
--- a/src/node/limits.rs
+++ b/src/node/limits.rs
@@ -23,8 +23,6 @@
 /// Longest pause before a new connection after several attempts have failed, without the part by
 /// which it differs between VMs.
 pub const MAX_CONNECT_PAUSE: Duration = Duration::from_secs(1);
-/// Time for which a replica whose entry was removed because it left may still receive commits.
-pub const LEAVER_GRACE: Duration = Duration::from_secs(2);
 /// Period at which replicas that are leaving are fenced.
 pub const FENCE_INTERVAL: Duration = Duration::from_millis(500);
 /// Gap between two ticks of the monitor after which its earlier observations are discarded, since
--- a/src/node/monitor.rs
+++ b/src/node/monitor.rs
@@ -286,7 +286,7 @@
                     ("received", &status.received),
                 ],
             );
-            pool.fence.set(primary, pool.boot_time());
+            pool.fence.set(primary);
         });
     }
 }
--- a/src/node/node_tables.rs
+++ b/src/node/node_tables.rs
@@ -350,18 +350,11 @@
         self.removed
             .borrow_mut()
             .record(&pool.entry(), monotonic_now());
-        let (group, leaving) = pool.read_entry(|entry| (entry.group.clone(), entry.leaving));
-        let group = self.group(&group);
-        let fenced = group
-            .primary()
-            .is_some_and(|primary| pool.fence.is_under(&primary));
+        let group = self.group(&pool.read_entry(|entry| entry.group.clone()));
         group.counted.remove_early(upstream);
         if reason == removal_reason::RemovalReason::Vanished {
             group.counted.record_vanished();
         }
-        if leaving && !fenced {
-            group.record_leaver_gone(self.edge.boot_time());
-        }
         if group.is_primary(upstream) {
             self.set_primary(&group, None, "removed");
         }
--- a/src/node/peer_list.rs
+++ b/src/node/peer_list.rs
@@ -101,7 +101,9 @@
         Some(change) => edge::ClaimPurpose::Now(change.clone()),
         None => edge::ClaimPurpose::Ended,
     };
-    group.decisions.record_claim(report.latest, &purpose, now);
+    group
+        .decisions
+        .record_claim_after_gap(report.latest, &purpose, group.term(), now);
 }
 
 async fn query_host<E: edge::NodeEdge>(
--- a/src/node/table_follower.rs
+++ b/src/node/table_follower.rs
@@ -10,8 +10,8 @@
 use crate::node::rate_limits::{limit_task, place_check};
 use crate::node::tables::{table_origin, table_source};
 use crate::node::{
-    claims, edge, era_revision, group, limits, monitor, node_log, node_tables, removal_reason,
-    watch_schedule,
+    claims, decision_outcome, edge, era_revision, group, limits, monitor, node_log, node_tables,
+    removal_reason, watch_schedule,
 };
 
 /// Keeps the tables up to date with the store as long as the node runs.
@@ -73,6 +73,15 @@
     ReadAll,
 }
 
+/// Whether claims may be missing between a claim and the latest known one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ClaimOrder {
+    /// It is the next one.
+    Next,
+    /// It was listed, and others may have been claimed before it.
+    AfterGap,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum VanishedEntry {
     Upstream(ids::UpstreamId),
@@ -413,6 +422,10 @@
         let mut members = collections::BTreeSet::new();
         for change in &all.changes {
             match change {
+                edge::ControlChange::Decision(group, claim) => {
+                    self.apply_decision(group, claim, ClaimOrder::AfterGap);
+                    continue;
+                }
                 edge::ControlChange::Upstream(entry) => {
                     upstreams.insert(entry.upstream.clone());
                 }
@@ -425,7 +438,6 @@
                 edge::ControlChange::Config(_)
                 | edge::ControlChange::UpstreamGone(_)
                 | edge::ControlChange::MemberGone(_)
-                | edge::ControlChange::Decision(..)
                 | edge::ControlChange::TermStart(..) => {}
             }
             self.apply(change.clone());
@@ -485,34 +497,49 @@
                 self.tables.group(&group).record_term_start(start);
             }
             edge::ControlChange::Decision(group, claim) => {
-                let group = self.tables.group(&group);
-                if claim.number > group.decisions.latest() {
-                    node_log::info(
-                        "decision_seen",
-                        &[
-                            ("group", &group.group),
-                            ("decision", &claim.number),
-                            ("vm", &claim.vm),
-                            ("purpose", &claim.purpose),
-                            ("primary", &group.primary().as_deref().unwrap_or("-")),
-                            ("term", &group.term()),
-                        ],
-                    );
-                }
-                let is_own = claim.vm == self.tables.vm && claim.number > group.decisions.latest();
-                group.decisions.record_claim(
-                    claim.number,
-                    &claim.purpose,
-                    node_tables::monotonic_now(),
-                );
-                if is_own && matches!(claim.purpose, edge::ClaimPurpose::Now(_)) {
-                    self.close_abandoned(&group, claim.number);
-                }
-                self.tables.changed.notify_waiters();
+                self.apply_decision(&group, &claim, ClaimOrder::Next);
             }
         }
     }
 
+    /// Records a claim that was read from the store.
+    fn apply_decision(&self, group: &str, claim: &edge::DecisionClaim, order: ClaimOrder) {
+        let group = self.tables.group(group);
+        let is_news = claim.number > group.decisions.latest();
+        if is_news {
+            node_log::info(
+                "decision_seen",
+                &[
+                    ("group", &group.group),
+                    ("decision", &claim.number),
+                    ("vm", &claim.vm),
+                    ("purpose", &claim.purpose),
+                    ("primary", &group.primary().as_deref().unwrap_or("-")),
+                    ("term", &group.term()),
+                ],
+            );
+        }
+        let now = node_tables::monotonic_now();
+        match order {
+            ClaimOrder::Next => {
+                group
+                    .decisions
+                    .record_claim(claim.number, &claim.purpose, now);
+            }
+            ClaimOrder::AfterGap => group.decisions.record_claim_after_gap(
+                claim.number,
+                &claim.purpose,
+                group.term(),
+                now,
+            ),
+        }
+        let is_own = is_news && claim.vm == self.tables.vm;
+        if is_own && matches!(claim.purpose, edge::ClaimPurpose::Now(_)) {
+            self.close_abandoned(&group, claim.number);
+        }
+        self.tables.changed.notify_waiters();
+    }
+
     /// Closes a decision of this VM that it does not work on: its claim took effect after it was
     /// abandoned, or it is from before a restart. Waits first if a promotion that this VM called
     /// may still take effect.
@@ -520,6 +547,11 @@
         let tables = rc::Rc::clone(&self.tables);
         let group = rc::Rc::clone(group);
         let may_have_called = group.decisions.is_deciding() || !tables.has_complete_list();
+        let outcome = if may_have_called {
+            decision_outcome::DecisionOutcome::Unknown
+        } else {
+            decision_outcome::DecisionOutcome::Kept
+        };
         tokio::task::spawn_local(async move {
             while group.decisions.is_deciding() {
                 tokio::time::sleep(limits::MONITOR_TICK).await;
@@ -528,7 +560,7 @@
                 tokio::time::sleep(limits::PROMOTION_EFFECT_TIMEOUT).await;
             }
             if group.decisions.own() != number {
-                claims::spawn_close(&tables, &group, number);
+                claims::spawn_close(&tables, &group, number, outcome);
             }
         });
     }
--- a/src/node/transaction.rs
+++ b/src/node/transaction.rs
@@ -198,12 +198,11 @@
                 upstream: pool.upstream().clone(),
                 position,
                 moment,
+                deadline,
             };
-            let confirmed = writes::confirm_commit(tables, &commit);
-            return match tokio::time::timeout_at(deadline, confirmed).await {
-                Ok(Ok(())) => TransactionOutcome::Answered(answer),
-                Ok(Err(reason)) => self.commit_unanswered(reason),
-                Err(_elapsed) => self.commit_unanswered("the primary is being replaced".to_owned()),
+            return match writes::confirm_commit(tables, &commit).await {
+                Ok(()) => TransactionOutcome::Answered(answer),
+                Err(reason) => self.commit_unanswered(reason),
             };
         }
     }
--- a/src/node/writes.rs
+++ b/src/node/writes.rs
@@ -209,7 +209,7 @@
 }
 
 async fn acknowledge_write<E: edge::NodeEdge>(
-    tables: &node_tables::NodeTables<E>,
+    tables: &rc::Rc<node_tables::NodeTables<E>>,
     pool: &pool::UpstreamPool<E>,
     job: &WriteJob,
     answer: answers::UpstreamAnswer,
@@ -225,6 +225,7 @@
         upstream: upstream.clone(),
         position,
         moment,
+        deadline: job.started + job.route.timeout,
     };
     match confirm_commit(tables, &commit).await {
         Ok(()) => WriteOutcome::Answered(upstream, answer, Some(position)),
@@ -260,9 +261,9 @@
 ///
 /// # Errors
 ///
-/// Fails if the commit was lost.
+/// Fails with the reason if the commit was lost, or if that is not known in time.
 pub async fn confirm_commit<E: edge::NodeEdge>(
-    tables: &node_tables::NodeTables<E>,
+    tables: &rc::Rc<node_tables::NodeTables<E>>,
     commit: &acknowledgement::AcknowledgedCommit,
 ) -> Result<(), String> {
     acknowledgement::await_durable(tables, commit).await?;
--- a/standins/src/cluster/cluster_edge.rs
+++ b/standins/src/cluster/cluster_edge.rs
@@ -357,15 +357,16 @@
             }
             let number = state.number(state.revision + 1);
             state.decision = number;
-            let stored = match purpose {
-                edge::ClaimPurpose::Promoted(start) => {
-                    state.term_start = Some(*start);
-                    let change = edge::ControlChange::TermStart(group.to_owned(), *start);
-                    state.events.push((state.revision + 1, change));
-                    edge::ClaimPurpose::Ended
-                }
-                purpose => purpose.clone(),
+            let (stored, start) = match purpose {
+                edge::ClaimPurpose::Promoted(start) => (edge::ClaimPurpose::Ended, Some(*start)),
+                edge::ClaimPurpose::Kept(start) => (edge::ClaimPurpose::Kept(None), *start),
+                purpose => (purpose.clone(), None),
             };
+            if let Some(start) = start {
+                state.term_start = Some(start);
+                let change = edge::ControlChange::TermStart(group.to_owned(), start);
+                state.events.push((state.revision + 1, change));
+            }
             let claim = edge::DecisionClaim {
                 number,
                 vm: node.to_owned(),
--- a/tests/leadership_model.rs
+++ b/tests/leadership_model.rs
@@ -286,6 +286,7 @@
             recent: self.asked_recent,
             vanished: (1..4).any(|index| self.early[index] && !self.asked[index]),
             deciding: false,
+            doubtful: false,
         };
         leadership::judge_primary(OLD_TERM, &reports, list) == LeadVerdict::Leads
     }
@@ -296,6 +297,7 @@
                 primary: false,
                 term: OLD_TERM,
                 fenced: 0,
+                received: LogPosition::new(OLD_TERM, 1),
             };
             return (dropped == DroppedGuard::SilentMembers).then_some(denial);
         };
@@ -308,6 +310,7 @@
             } else {
                 fenced
             },
+            received: LogPosition::new(OLD_TERM, 1),
         })
     }
 }
--- a/tests/node_support/acknowledged_writes.rs
+++ b/tests/node_support/acknowledged_writes.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use persimmontack::node::answers::CallerAnswer;
+use persimmontack::node::answers::{CallerAnswer, ErrorCode};
 use standins::cluster::cluster_edge::ClusterEdge;
 use standins::cluster::test_caller::{CallerReply, TestCaller};
 
@@ -29,6 +29,14 @@
         answer
     }
 
+    /// Writes `data`, whose commit rests on a replica that no VM counts yet, so that its caller is
+    /// not told of it. The primary acknowledges it, and its successor has to hold it like the others.
+    pub async fn write_untold(&self, caller: &mut TestCaller, data: &str) {
+        let answer = self.write(caller, data).await;
+        assert_eq!(support::code(&answer), ErrorCode::Unknown);
+        self.data.borrow_mut().push(data.to_owned());
+    }
+
     fn note(&self, data: &str, answer: &CallerAnswer) {
         if answer.result.is_ok() {
             self.data.borrow_mut().push(data.to_owned());
