--- a/src/decide/leadership.rs
+++ b/src/decide/leadership.rs
@@ -31,6 +31,9 @@
     pub early: bool,
     /// Whether its entry in the list is recent, so that every decision counts it.
     pub recent: bool,
+    /// Whether the store has listed it lately, so that every decision counts it, though others may be
+    /// missing from the list.
+    pub listed: bool,
     /// Its report, which has to be requested after the moment to be judged.
     pub role: Option<RoleReport>,
 }
@@ -96,11 +99,10 @@
 /// Returns the highest position that every later primary holds, as far as the reports show.
 ///
 /// A replica has received it that is not fenced and that every decision counts: a decision that is
-/// still to come compares it, and one that has compared it has fenced it. Without a recent list, a
-/// decision may not count a listed replica any more, so all that stay have to have received it.
-///
-/// A promotion lifts fences, so after a decision whose outcome is not known all upstreams have to
-/// deny that they lead.
+/// still to come compares it, and one that has compared it has fenced it. A promotion lifts fences,
+/// so after a decision whose outcome is not known, or with a list that may lack the successor, all
+/// upstreams have to deny that they lead. If the store has not listed them lately, a decision may
+/// not count each of them any more, and all that stay have to have received the position.
 #[must_use]
 pub fn replicated_position(
     term: ids::TermNumber,
@@ -111,12 +113,16 @@
     if superseded || list.deciding {
         return None;
     }
-    let all_deny = all_deny(term, reports, list);
-    let counted = free_members(term, reports).filter(|_| all_deny || !list.doubtful);
-    let by_counted = counted.map(|(_, role)| role.received).max();
-    let staying = answers(reports).filter(|(report, _)| all_deny && !report.leaving);
-    let by_all = staying.map(|(_, role)| role.received).min();
-    by_counted.max(by_all)
+    let received = |(_, role): (&MemberReport, RoleReport)| role.received;
+    if !all_deny(term, reports, list) {
+        let free = free_members(term, reports).filter(|_| !list.doubtful);
+        return free.map(received).max();
+    }
+    let staying = answers(reports).filter(|(report, _)| !report.leaving);
+    let counted = staying
+        .clone()
+        .filter(|(report, _)| report.early && (report.recent || report.listed));
+    counted.map(received).max().max(staying.map(received).min())
 }
 
 /// Returns the upstreams that have answered, with their reports.
--- a/src/node/lead_round.rs
+++ b/src/node/lead_round.rs
@@ -26,7 +26,8 @@
         primary: &str,
         term: ids::TermNumber,
     ) -> Self {
-        let recent = has_recent_list(tables);
+        let listed = has_recent_answer(tables);
+        let recent = listed && tables.has_complete_list();
         let now = tables.edge.boot_time();
         // All upstreams that were listed earlier may have gone. After this time, every decision that this
         // VM may have missed has ended, and its successor is listed.
@@ -39,6 +40,7 @@
             leaving: pool.read_entry(|entry| entry.leaving),
             early: expired || group.counted.is_early(pool.upstream()),
             recent: recent || group.counted.contains(pool.upstream(), now),
+            listed,
             role: None,
         });
         Self {
@@ -92,7 +94,7 @@
 
 /// Returns whether every decision still counts the upstreams in the list: entries that vanish from
 /// the store are kept for [`limits::STORE_RETURN_GRACE`].
-fn has_recent_list<E: edge::NodeEdge>(tables: &node_tables::NodeTables<E>) -> bool {
+fn has_recent_answer<E: edge::NodeEdge>(tables: &node_tables::NodeTables<E>) -> bool {
     let age = tables.isolation.store_answer_age(tables.edge.boot_time());
-    tables.has_complete_list() && age < limits::STORE_RETURN_GRACE
+    age < limits::STORE_RETURN_GRACE
 }
--- a/tests/leadership_model.rs
+++ b/tests/leadership_model.rs
@@ -279,6 +279,7 @@
                 leaving: false,
                 early: self.early[index] || dropped == DroppedGuard::Early,
                 recent: self.asked_recent || dropped == DroppedGuard::Recent,
+                listed: self.asked_recent,
                 role: self.role(index, dropped),
             })
             .collect();
