Pass on up to which term a VM does not know the outcome of decisions

Change: a report about a group says which terms the reporting VM is in doubt about, and the VM takes over these only.

--- a/src/node/decision_record.rs
+++ b/src/node/decision_record.rs
@@ -78,6 +78,21 @@
         self.record_claim(number, purpose, now);
     }
 
+    /// Records the latest claimed number that another VM knows, and up to which term that VM does not
+    /// know the outcome of decisions that are over.
+    pub fn record_claim_of_peer(
+        &self,
+        number: edge::RevisionNumber,
+        purpose: &edge::ClaimPurpose,
+        doubtful: ids::TermNumber,
+        now: time::Duration,
+    ) {
+        if number > self.latest.get() {
+            self.add_doubt(doubtful);
+        }
+        self.record_claim(number, purpose, now);
+    }
+
     /// Records a decision that this VM did not learn of from the store. Its number may already be
     /// known as a reserved one. Returns `false` if a later number is known.
     pub fn open_decision(
@@ -133,9 +148,15 @@
     /// outcome is not known.
     #[must_use]
     pub fn is_doubtful(&self, term: ids::TermNumber) -> bool {
+        self.doubtful_term() >= term
+    }
+
+    /// Returns the last such term; 0 if there is none.
+    #[must_use]
+    pub fn doubtful_term(&self) -> ids::TermNumber {
         let open = self.open.borrow();
         let unsettled = open.as_ref().map_or(0, |open| open.ends);
-        self.doubtful.get().max(unsettled) >= term
+        self.doubtful.get().max(unsettled)
     }
 
     /// Records that the primary of `term` was proved to lead by questions that were sent after the
--- a/src/node/peer_list.rs
+++ b/src/node/peer_list.rs
@@ -25,6 +25,9 @@
     latest: edge::RevisionNumber,
     /// Effect of that decision, if it may still be in progress.
     change: Option<primary_change::PrimaryChange>,
+    /// Last term that a decision may have ended which is over, and whose outcome the host does not
+    /// know.
+    doubtful: ids::TermNumber,
 }
 
 /// Asks the other hosts in the background, unless that is under way or was done a moment ago.
@@ -101,9 +104,8 @@
         Some(change) => edge::ClaimPurpose::Now(change.clone()),
         None => edge::ClaimPurpose::Ended,
     };
-    group
-        .decisions
-        .record_claim_after_gap(report.latest, &purpose, group.term(), now);
+    let decisions = &group.decisions;
+    decisions.record_claim_of_peer(report.latest, &purpose, report.doubtful, now);
 }
 
 async fn query_host<E: edge::NodeEdge>(
@@ -134,6 +136,7 @@
         store_age: tables.isolation.store_answer_age(tables.edge.boot_time()),
         latest: group.decisions.latest(),
         change: group.decisions.open_change(node_tables::monotonic_now()),
+        doubtful: group.decisions.doubtful_term(),
     };
     if let Err(error) = stream.writer.send_last(&report).await {
         node_log::debug("peer_lost", &[("vm", &vm), ("reason", &error)]);
--- a/tests/node_ended_decisions.rs
+++ b/tests/node_ended_decisions.rs
@@ -135,7 +135,7 @@
             let now = persimmontack::node::node_tables::monotonic_now();
             group
                 .decisions
-                .record_claim(decision + 1, &ClaimPurpose::Ended, now);
+                .record_claim_of_peer(decision + 1, &ClaimPurpose::Ended, 0, now);
             node.tables.changed.notify_waiters();
         };
         let answer = answer_after(&edge, &writes, end).await;
