Add a test of a VM without the store after a change of the primary

It fails if the VM takes another VM's report of a decision's end for a sign that the new primary may have been replaced too ('not known to survive a change of the primary: unreplicated').

--- a/tests/node_ended_decisions.rs
+++ b/tests/node_ended_decisions.rs
@@ -237,3 +237,32 @@
         writes.check(&edge);
     });
 }
+
+/// Guards against a refusal of all statements by a VM that the store turns away, seen on psalmhand-kgn
+/// trouble-1: it hears of the end of a decision from another VM, and takes it for a sign that the new
+/// primary may have been replaced too, which a silent upstream cannot deny.
+#[test]
+fn a_vm_without_the_store_is_not_in_doubt_about_the_new_primary() {
+    support::block_on(async {
+        let edge = support::cluster(22);
+        let first = start(&edge, 1, "dc-a", 1).await;
+        let _second = start(&edge, 2, "dc-b", 2).await;
+        first.sleep(SETTLED_AFTER).await;
+        cut(&edge, "vm-1", &[CutTarget::Store]);
+        first.sleep(LOOK_TIME).await;
+        edge.change(|state| state.instance("a").up = false);
+        first
+            .wait_until("another upstream is the primary", |node| {
+                !matches!(node.primary().as_str(), "" | "a")
+            })
+            .await;
+        let writes = AcknowledgedWrites::default();
+        let mut caller = first.caller(support::LATEST).await;
+        for number in 0..30 {
+            first.sleep(SEEN_AFTER).await;
+            let answer = writes.write(&mut caller, &format!("write-{number}")).await;
+            support::rows(&answer);
+        }
+        writes.check(&edge);
+    });
+}
