--- a/src/node/acknowledgement.rs
+++ b/src/node/acknowledgement.rs
@@ -58,6 +58,8 @@
         acknowledged: node_tables::monotonic_now(),
         missing: cell::Cell::default(),
         held: cell::Cell::default(),
+        questioned_at: cell::Cell::new(commit.moment.sent_at),
+        lacking_since: cell::Cell::default(),
     };
     match tokio::time::timeout_at(commit.deadline, wait.await_verdict()).await {
         Ok(Ok(evidence)) => {
@@ -93,12 +95,15 @@
     missing: cell::Cell<Option<MissingEvidence>>,
     /// Whether the wait was logged.
     held: cell::Cell<bool>,
+    /// Since when a round of questions to the replicas serves this commit, as a time of
+    /// [`edge::NodeEdge::boot_time`].
+    questioned_at: cell::Cell<time::Duration>,
+    /// Since when the new primary is known to lack the commit. It may still be applying its log.
+    lacking_since: cell::Cell<Option<Instant>>,
 }
 
 impl<E: edge::NodeEdge> CommitWait<'_, E> {
     async fn await_verdict(&self) -> Result<CommitEvidence, String> {
-        let mut lacking_since = None;
-        let mut proved_since = self.commit.moment.sent_at;
         loop {
             let missing = match judge(self.tables, self.commit, self.acknowledged) {
                 CommitVerdict::Kept(evidence) => return Ok(evidence),
@@ -110,69 +115,75 @@
             let earlier = self.missing.replace(Some(missing));
             match missing {
                 MissingEvidence::Unreached => {
-                    spawn_check(probe_other_centres(
-                        self.tables.clone(),
-                        self.commit.clone(),
-                    ))
-                    .await;
-                    continue;
+                    let probe = probe_other_centres(self.tables.clone(), self.commit.clone());
+                    spawn_check(probe).await;
                 }
                 MissingEvidence::Unreplicated => {
                     if earlier == Some(missing) {
                         self.log_held(missing);
                     }
-                    let group = &self.commit.group;
-                    let advanced = group.proof.advanced.notified();
-                    leadership::prove_primary(self.tables, group, proved_since).await;
-                    proved_since = self.tables.edge.boot_time();
-                    let is_told = matches!(
-                        judge(self.tables, self.commit, self.acknowledged),
-                        CommitVerdict::Kept(_)
-                    );
-                    if !is_told {
-                        // A replica that answers later may hold the commit.
-                        tokio::select! {
-                            () = advanced => {}
-                            () = tokio::time::sleep(limits::COMMIT_CHECK_PAUSE) => {}
-                        }
-                    }
-                    continue;
+                    self.question_replicas().await;
                 }
-                MissingEvidence::Replaced | MissingEvidence::Uninformed => self.log_held(missing),
-            }
-            let group = &self.commit.group;
-            let decision = group.decisions.latest();
-            let successor = find_successor(self.commit);
-            let check = check_commit(
-                self.tables.clone(),
-                self.commit.clone(),
-                missing,
-                successor.clone(),
-            );
-            let kept = spawn_check(check).await.flatten();
-            if kept == Some(true) && group.decisions.latest() == decision {
-                group
-                    .decisions
-                    .record_successor_position(self.commit.position);
-                return Ok(match missing {
-                    MissingEvidence::Uninformed => CommitEvidence::AllReplicas,
-                    _ => CommitEvidence::Successor,
-                });
-            }
-            let is_promoted = successor.is_some_and(|successor| group.is_primary(&successor));
-            if kept == Some(false) && is_promoted {
-                let since: Instant = *lacking_since.get_or_insert_with(Instant::now);
-                if since.elapsed() > limits::COMMIT_APPLY_TIMEOUT {
-                    return Err("the new primary lacks the commit".to_owned());
+                MissingEvidence::Replaced | MissingEvidence::Uninformed => {
+                    self.log_held(missing);
+                    if let Some(evidence) = self.check(missing).await? {
+                        return Ok(evidence);
+                    }
+                    tokio::select! {
+                        () = self.tables.changed.notified() => {}
+                        () = tokio::time::sleep(limits::COMMIT_CHECK_PAUSE) => {}
+                    }
                 }
             }
+        }
+    }
+
+    /// Waits for a round of questions to the replicas that began after the commit was sent, or after
+    /// the round before. Other commits share it.
+    async fn question_replicas(&self) {
+        let proof = &self.commit.group.proof;
+        let advanced = proof.advanced.notified();
+        let since = self.questioned_at.get();
+        leadership::prove_primary(self.tables, &self.commit.group, since).await;
+        self.questioned_at.set(self.tables.edge.boot_time());
+        let verdict = judge(self.tables, self.commit, self.acknowledged);
+        if verdict == CommitVerdict::Unknown(MissingEvidence::Unreplicated) {
+            // A replica that answers later may hold the commit.
             tokio::select! {
-                () = self.tables.changed.notified() => {}
+                () = advanced => {}
                 () = tokio::time::sleep(limits::COMMIT_CHECK_PAUSE) => {}
             }
         }
     }
 
+    /// Asks the upstreams that have to hold the commit. Fails if the new primary lacks it.
+    async fn check(&self, missing: MissingEvidence) -> Result<Option<CommitEvidence>, String> {
+        let group = &self.commit.group;
+        let decision = group.decisions.latest();
+        let successor = find_successor(self.commit);
+        let (tables, commit) = (self.tables.clone(), self.commit.clone());
+        let check = check_commit(tables, commit, missing, successor.clone());
+        let kept = spawn_check(check).await.flatten();
+        if kept == Some(true) && group.decisions.latest() == decision {
+            group
+                .decisions
+                .record_successor_position(self.commit.position);
+            return Ok(Some(match missing {
+                MissingEvidence::Uninformed => CommitEvidence::AllReplicas,
+                _ => CommitEvidence::Successor,
+            }));
+        }
+        let is_promoted = successor.is_some_and(|successor| group.is_primary(&successor));
+        if kept == Some(false) && is_promoted {
+            let since = self.lacking_since.get().unwrap_or_else(Instant::now);
+            self.lacking_since.set(Some(since));
+            if since.elapsed() > limits::COMMIT_APPLY_TIMEOUT {
+                return Err("the new primary lacks the commit".to_owned());
+            }
+        }
+        Ok(None)
+    }
+
     fn log_held(&self, missing: MissingEvidence) {
         if !self.held.replace(true) {
             self.log("commit_held", &missing, &"-");
