End a doubt about the primary after 15 s without a proof

What callers would see: a VM refuses all reads and writes of a group for as long as one replica stays out of its reach, after a decision whose end does not say what came of it. Cause: while there is a doubt, all upstreams have to deny that they lead, and this had no bound. Change: the bound that holds for upstreams that were listed late holds here too: after 15 s without a proof every decision that the VM may have missed is over, and its successor is listed. Result: a_doubt_ends_although_a_replica_stays_out_of_reach fails without the change ('no_upstream').

--- a/src/node/lead_round.rs
+++ b/src/node/lead_round.rs
@@ -12,6 +12,9 @@
     group: rc::Rc<group::GroupState>,
     primary: ids::UpstreamId,
     term: ids::TermNumber,
+    /// Whether the lead has not been proved for so long that every decision that this VM may have
+    /// missed is over, and its successor is listed.
+    expired: bool,
     /// What the VM knew about the group when the round began.
     pub list: ListKnowledge,
     /// The other upstreams, and their reports so far.
@@ -29,8 +32,7 @@
         let listed = has_recent_answer(tables);
         let recent = listed && tables.has_complete_list();
         let now = tables.edge.boot_time();
-        // All upstreams that were listed earlier may have gone. After this time, every decision that this
-        // VM may have missed has ended, and its successor is listed.
+        // All upstreams that were listed earlier may have gone, or one may be out of reach for good.
         let unproved = group.proof.unproved_time(now);
         let expired = recent && unproved > limits::DECISION_EXPIRY;
         let pools = tables.pools_of(&group.group);
@@ -47,11 +49,12 @@
             group: rc::Rc::clone(group),
             primary: primary.to_owned(),
             term,
+            expired,
             list: ListKnowledge {
                 recent,
                 vanished: group.counted.has_vanished(),
                 deciding: may_end(group, term),
-                doubtful: group.decisions.is_doubtful(term),
+                doubtful: !expired && group.decisions.is_doubtful(term),
             },
             reports: reports.collect(),
         }
@@ -67,7 +70,7 @@
         }
         // A decision may have become known since the round began.
         self.list.deciding |= may_end(&self.group, self.term);
-        self.list.doubtful |= self.group.decisions.is_doubtful(self.term);
+        self.list.doubtful |= !self.expired && self.group.decisions.is_doubtful(self.term);
         let replicated = leadership::replicated_position(self.term, &self.reports, self.list);
         if let Some(position) = replicated
             && self.group.is_primary(&self.primary)
--- a/tests/node_ended_decisions.rs
+++ b/tests/node_ended_decisions.rs
@@ -13,6 +13,7 @@
 use persimmontack::model::term_start::TermStart;
 use persimmontack::node::answers::{CallerAnswer, ErrorCode};
 use persimmontack::node::edge::{ClaimPurpose, NodeEdge, RevisionNumber};
+use persimmontack::node::limits;
 use persimmontack::node::primary_change::PrimaryChange;
 use standins::cluster::cluster_edge::ClusterEdge;
 use standins::cluster::cluster_state;
@@ -266,3 +267,23 @@
         writes.check(&edge);
     });
 }
+
+/// Guards against a group that a VM never serves again: the end of a decision does not say what came of
+/// it, and one replica, which the store lists, stays out of this VM's reach.
+#[test]
+fn a_doubt_ends_although_a_replica_stays_out_of_reach() {
+    support::block_on(async {
+        let edge = support::cluster(22);
+        let node = start(&edge, 1, "dc-a", 1).await;
+        node.sleep(SETTLED_AFTER).await;
+        let decision = claim(&edge, "vm-2", None).await;
+        cut(&edge, "vm-1", &instances(&["c"]));
+        node.sleep(SEEN_AFTER).await;
+        write_claims(&edge, decision, &[ClaimPurpose::Ended]).await;
+        node.sleep(limits::DECISION_EXPIRY + LOOK_TIME).await;
+        let mut caller = node.caller(support::LATEST).await;
+        let writes = AcknowledgedWrites::default();
+        support::rows(&writes.write(&mut caller, "one").await);
+        writes.check(&edge);
+    });
+}
