Log tables that are older than a configuration may be, and questions that are dropped

A VM that waits behind one that hangs left no line from one call to the store to the next, and nothing said that its tables had passed the bound. No logic is changed.

--- a/src/node/table_follower.rs
+++ b/src/node/table_follower.rs
@@ -25,6 +25,7 @@
         vanished: collections::BTreeMap::new(),
         last_answer: None,
         store_asked: None,
+        is_late: false,
     };
     loop {
         let began_at = follower.tables.edge.boot_time();
@@ -60,6 +61,8 @@
     last_answer: Option<Instant>,
     /// When the last call to the store failed, if none has succeeded since.
     store_asked: Option<Instant>,
+    /// Whether the tables were last reported to be older than a configuration may be.
+    is_late: bool,
 }
 
 /// What to do after a follower was asked.
@@ -96,6 +99,7 @@
         let tables = rc::Rc::clone(&self.tables);
         let mut times = self.waiting_times();
         loop {
+            self.report_age();
             // What a question is for, only the store itself can answer.
             if !times.wait.is_zero() {
                 match self.choose_source() {
@@ -175,6 +179,33 @@
         }
     }
 
+    /// Logs that the tables have grown older than a configuration may be, or that they no longer are. In
+    /// between, this VM may handle requests by a configuration that is out of date.
+    fn report_age(&mut self) {
+        let age = self.tables.config_age();
+        let is_late = self.tables.config().is_some() && age > self.tables.config_apply_limit.get();
+        if is_late == std::mem::replace(&mut self.is_late, is_late) {
+            return;
+        }
+        let version = self.tables.config().map_or(0, |config| config.version);
+        let asked_at = self.store_asked.map(|asked| asked.elapsed().as_millis());
+        node_log::warn(
+            if is_late {
+                "tables_late"
+            } else {
+                "tables_in_time_again"
+            },
+            &[
+                ("config", &version),
+                ("age_ms", &age.as_millis()),
+                ("from", &self.tables.table_origin.borrow()),
+                ("store_available", &self.tables.store_available.get()),
+                ("store_failed_ms_ago", &format!("{asked_at:?}")),
+                ("failed_followers", &self.source.failed_count()),
+            ],
+        );
+    }
+
     /// Returns where the next changes come from. When the tables are overdue, that is the store,
     /// whichever VMs there still are to ask.
     fn choose_source(&mut self) -> table_source::SourceChoice {
@@ -226,10 +257,18 @@
             .waiting_times()
             .wait
             .min(self.schedule().follower_wait());
+        let sent_at = Instant::now();
         let answer = tokio::select! {
             answer = self.source.ask(follower, *revision, wait) => answer,
             () = await_refresh(&tables, not_before) => return FollowOutcome::AskStore,
-            () = tokio::time::sleep_until(store_due) => return FollowOutcome::AskStore,
+            () = tokio::time::sleep_until(store_due) => {
+                let waited = sent_at.elapsed().as_millis();
+                node_log::info(
+                    "table_question_dropped",
+                    &[("vm", &follower), ("waited_ms", &waited)],
+                );
+                return FollowOutcome::AskStore;
+            }
         };
         let Ok(answer) = answer else {
             return FollowOutcome::Continue;
--- a/src/node/tables/table_source.rs
+++ b/src/node/tables/table_source.rs
@@ -74,6 +74,12 @@
         self.tables.uses_followers() && !watches
     }
 
+    /// Returns how many VMs are not asked for a while, since they did not answer.
+    #[must_use]
+    pub fn failed_count(&self) -> usize {
+        self.failed.len()
+    }
+
     /// Returns where the next changes come from.
     pub fn choose(&mut self) -> SourceChoice {
         if !self.may_ask_followers() {
