--- a/standins/src/cluster/cluster_edge.rs
+++ b/standins/src/cluster/cluster_edge.rs
@@ -134,6 +134,17 @@
             .unwrap_or_else(|_elapsed| Err(edge::StoreError::NoAnswer("timeout".to_owned())))
     }
 
+    /// Returns whether the store refuses the next watch of this VM.
+    fn refuses_watch(&self) -> bool {
+        let mut state = self.state.borrow_mut();
+        let Some(left) = state.refused_watches.get_mut(&self.vm) else {
+            return false;
+        };
+        let refuses = *left > 0;
+        *left = left.saturating_sub(1);
+        refuses
+    }
+
     /// Waits up to `wait` for changes of the store after `revision`.
     async fn await_changes(
         &self,
@@ -143,6 +154,12 @@
         let revision = era_revision::EraRevision::from_number(revision);
         let limit = tokio::time::Instant::now() + wait;
         self.check_store().await?;
+        if self.refuses_watch() {
+            return Err(edge::StoreError::Refused(429));
+        }
+        if self.state.borrow().refused_listings.contains(&self.vm) {
+            return Err(edge::StoreError::HistoryGone);
+        }
         loop {
             let changed = self.changed.notified();
             if self.is_cut(&cut_table::CutTarget::Store) {
@@ -272,6 +289,9 @@
     async fn read_all(&self) -> Result<edge::ControlChanges, edge::StoreError> {
         self.call_store(STORE_TIMEOUT, self.check_store()).await?;
         let state = self.state.borrow();
+        if state.refused_listings.contains(&self.vm) {
+            return Err(edge::StoreError::Refused(429));
+        }
         let mut changes = vec![edge::ControlChange::Config(state.config.clone())];
         changes.extend(
             state
--- a/standins/src/cluster/cluster_state.rs
+++ b/standins/src/cluster/cluster_state.rs
@@ -37,6 +37,10 @@
     pub store_silent: bool,
     /// How often calls that wait at the store have been lost.
     pub lost_calls: u64,
+    /// Number of upcoming watches of a VM that the store refuses, as beyond its rate limit.
+    pub refused_watches: collections::BTreeMap<ids::VmId, u32>,
+    /// VMs whose history the store no longer has, and whose listings it refuses.
+    pub refused_listings: collections::BTreeSet<ids::VmId>,
     /// Delay until a watch reports a change to the store.
     pub watch_delay: time::Duration,
     /// Delay between the claim of a decision number and the answer to the VM.
@@ -105,6 +109,8 @@
             store_up: true,
             store_silent: false,
             lost_calls: 0,
+            refused_watches: collections::BTreeMap::new(),
+            refused_listings: collections::BTreeSet::new(),
             watch_delay: time::Duration::ZERO,
             claim_delay: time::Duration::ZERO,
             listed_by_claim: None,
--- a/standins/src/cluster/peer_network.rs
+++ b/standins/src/cluster/peer_network.rs
@@ -4,6 +4,7 @@
 use std::collections;
 use std::io;
 use std::net;
+use std::sync;
 
 use persimmontack::link::{hello, server};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
@@ -20,8 +21,12 @@
     streams: mpsc::UnboundedSender<server::PeerStream>,
     connections: Vec<tokio::task::JoinHandle<()>>,
     reachable: bool,
+    held: HeldStreams,
 }
 
+/// Streams that a VM does not serve although its links are open, or `None` if it serves all.
+type HeldStreams = sync::Arc<sync::Mutex<Option<Vec<server::PeerStream>>>>;
+
 /// An in-memory network between the VMs of a test.
 #[derive(Debug, Default)]
 pub struct PeerNetwork {
@@ -44,6 +49,7 @@
             streams,
             connections: Vec::new(),
             reachable: true,
+            held: HeldStreams::default(),
         };
         self.listening.borrow_mut().insert(address, state);
         receiver
@@ -59,6 +65,17 @@
         }
     }
 
+    /// Breaks all links to `address`. New ones are accepted and answer pings, but their streams are not served,
+    /// as at a process that hardly runs.
+    pub fn hang(&self, address: net::SocketAddr) {
+        if let Some(state) = self.listening.borrow_mut().get_mut(&address) {
+            *lock(&state.held) = Some(Vec::new());
+            for connection in state.connections.drain(..) {
+                connection.abort();
+            }
+        }
+    }
+
     /// Connects to `address`.
     ///
     /// # Errors
@@ -73,10 +90,14 @@
         let (near, far) = tokio::io::duplex(BUFFER_BYTES);
         let hello = state.hello.clone();
         let streams = state.streams.clone();
+        let held = sync::Arc::clone(&state.held);
         state.connections.push(tokio::spawn(async move {
             let handler = move |stream| {
-                // Fails only after the test has dropped the VM.
-                drop(streams.send(stream));
+                match &mut *lock(&held) {
+                    Some(held) => held.push(stream),
+                    // Fails only after the test has dropped the VM.
+                    None => drop(streams.send(stream)),
+                }
                 std::future::ready(())
             };
             let served = server::serve_connection(far, "test", &hello, handler);
@@ -120,6 +141,10 @@
     }
 }
 
+fn lock(held: &HeldStreams) -> sync::MutexGuard<'_, Option<Vec<server::PeerStream>>> {
+    held.lock().unwrap_or_else(sync::PoisonError::into_inner)
+}
+
 /// Forwards bytes in one direction until the connection ends.
 async fn forward(
     mut from: tokio::io::ReadHalf<tokio::io::DuplexStream>,
