--- a/src/node/table_follower.rs
+++ b/src/node/table_follower.rs
@@ -1,18 +1,13 @@
 //! Replicates the node's tables from the store or from other VMs.
 
-use std::collections;
 use std::rc;
 use std::time;
 
 use tokio::time::Instant;
 
-use crate::model::ids;
 use crate::node::rate_limits::{limit_task, place_check};
-use crate::node::tables::{table_origin, table_source};
-use crate::node::{
-    claims, decision_outcome, edge, era_revision, group, limits, monitor, node_log, node_tables,
-    removal_reason, watch_schedule,
-};
+use crate::node::tables::{table_origin, table_source, table_updates};
+use crate::node::{edge, era_revision, limits, node_log, node_tables, watch_schedule};
 
 /// Keeps the tables up to date with the store as long as the node runs.
 pub async fn follow_store<E: edge::NodeEdge>(tables: rc::Rc<node_tables::NodeTables<E>>) {
@@ -20,9 +15,8 @@
     tokio::task::spawn_local(place_check::run(rc::Rc::clone(&tables)));
     let mut follower = TableFollower {
         source: table_source::TableSource::new(rc::Rc::clone(&tables)),
+        updates: table_updates::TableUpdates::new(rc::Rc::clone(&tables)),
         tables,
-        monitored: collections::BTreeSet::new(),
-        vanished: collections::BTreeMap::new(),
         last_answer: None,
         store_asked: None,
         is_late: false,
@@ -34,7 +28,7 @@
                 follower.record_origin(table_origin::TableOrigin::default());
                 follower.record_store_answer(all.changes.len());
                 follower.check_restore(all.revision);
-                follower.replace(&all, began_at);
+                follower.updates.replace(&all, began_at);
                 node_log::info(
                     "list_read",
                     &[("upstreams", &follower.tables.pools().len())],
@@ -53,10 +47,7 @@
 struct TableFollower<E: edge::NodeEdge> {
     tables: rc::Rc<node_tables::NodeTables<E>>,
     source: table_source::TableSource<E>,
-    monitored: collections::BTreeSet<ids::GroupId>,
-    /// Upstreams and VMs whose entries have vanished, and when they are to be removed. Entries may
-    /// vanish in an outage of the store and reappear after it.
-    vanished: collections::BTreeMap<VanishedEntry, Instant>,
+    updates: table_updates::TableUpdates<E>,
     /// When the store last answered a watch or a listing.
     last_answer: Option<Instant>,
     /// When the last call to the store failed, if none has succeeded since.
@@ -76,23 +67,6 @@
     ReadAll,
 }
 
-/// Whether claims may be missing between a claim and the latest known one.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum ClaimOrder {
-    /// It is the next one.
-    Next,
-    /// It was listed, and others may have been claimed before it.
-    AfterGap,
-}
-
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum VanishedEntry {
-    Upstream(ids::UpstreamId),
-    /// The entry of an upstream is there, but not one that an upstream writes.
-    Invalid(ids::UpstreamId),
-    Member(ids::VmId),
-}
-
 impl<E: edge::NodeEdge> TableFollower<E> {
     /// Applies changes until the store no longer has the history since the last revision.
     async fn watch_from(&mut self, mut revision: edge::RevisionNumber) {
@@ -142,7 +116,7 @@
                     self.record_store_answer(changes.changes.len());
                     self.store_asked = None;
                     revision = changes.revision.max(revision);
-                    self.extend(changes, began_at);
+                    self.updates.extend(changes, began_at);
                     self.record_revision(revision, began_at);
                     tokio::select! {
                         () = tokio::time::sleep(self.watch_pause()) => {
@@ -166,7 +140,7 @@
                     if self.source.may_ask_followers() {
                         // The followers may reach the store although this VM does not.
                         times = self.waiting_times();
-                        self.drop_vanished();
+                        self.updates.drop_vanished();
                         continue;
                     }
                     tokio::time::sleep_until(sent_at + limits::STORE_PAUSE).await;
@@ -175,7 +149,7 @@
                     times = self.schedule().question();
                 }
             }
-            self.drop_vanished();
+            self.updates.drop_vanished();
         }
     }
 
@@ -284,12 +258,12 @@
             hops: answer.hops,
         });
         if answer.is_listing {
-            self.replace(&answer.changes, answer.began_at);
+            self.updates.replace(&answer.changes, answer.began_at);
         } else {
-            self.extend(answer.changes, answer.began_at);
+            self.updates.extend(answer.changes, answer.began_at);
         }
         self.record_revision(*revision, answer.began_at);
-        self.drop_vanished();
+        self.updates.drop_vanished();
         tokio::select! {
             () = tokio::time::sleep(limits::FOLLOWER_INTERVAL) => FollowOutcome::Continue,
             () = await_refresh(&tables, not_before) => FollowOutcome::AskStore,
@@ -302,15 +276,6 @@
         await_refresh(&self.tables, not_before).await;
     }
 
-    /// Applies changes, and keeps them for other VMs.
-    fn extend(&mut self, changes: edge::ControlChanges, began_at: time::Duration) {
-        let shared = &self.tables.store_image;
-        shared.image.borrow_mut().extend(&changes, began_at);
-        for change in changes.changes {
-            self.apply(change);
-        }
-    }
-
     fn record_origin(&self, origin: table_origin::TableOrigin) {
         metrics::gauge!("persimmontack_table_hops").set(f64::from(origin.hops));
         *self.tables.table_origin.borrow_mut() = origin;
@@ -349,7 +314,6 @@
 
     /// Returns the times of the next watch that waits.
     fn waiting_times(&self) -> watch_schedule::WatchTimes {
-        let now = Instant::now();
         let longest = if self.tables.has_complete_list() {
             limits::MAX_WATCH_WAIT
         } else {
@@ -362,17 +326,15 @@
             longest
         };
         let longest = self
-            .vanished
-            .values()
-            .map(|due| due.saturating_duration_since(now))
-            .min()
+            .updates
+            .next_removal()
             .map_or(longest, |due| due.min(longest));
         self.schedule().waiting(longest, self.watch_pause())
     }
 
     async fn pause(&mut self) {
         tokio::time::sleep(limits::STORE_PAUSE).await;
-        self.drop_vanished();
+        self.updates.drop_vanished();
     }
 
     /// Logs a watch that failed. If the store answered another call of this VM while the watch
@@ -452,211 +414,6 @@
         // VMs that wait for this one have to ask others.
         self.tables.store_image.changed.notify_waiters();
     }
-
-    /// Applies a full listing of the store. Known entries that are missing from it have vanished.
-    fn replace(&mut self, all: &edge::ControlChanges, began_at: time::Duration) {
-        let shared = &self.tables.store_image;
-        shared.image.borrow_mut().replace(all, began_at);
-        let mut upstreams = collections::BTreeSet::new();
-        let mut members = collections::BTreeSet::new();
-        for change in &all.changes {
-            match change {
-                edge::ControlChange::Decision(group, claim) => {
-                    self.apply_decision(group, claim, ClaimOrder::AfterGap);
-                    continue;
-                }
-                edge::ControlChange::Upstream(entry) => {
-                    upstreams.insert(entry.upstream.clone());
-                }
-                edge::ControlChange::UpstreamInvalid(upstream) => {
-                    upstreams.insert(upstream.clone());
-                }
-                edge::ControlChange::Member(vm, _entry) => {
-                    members.insert(vm.clone());
-                }
-                edge::ControlChange::Config(_)
-                | edge::ControlChange::UpstreamGone(_)
-                | edge::ControlChange::MemberGone(_)
-                | edge::ControlChange::TermStart(..) => {}
-            }
-            self.apply(change.clone());
-        }
-        for pool in self.tables.pools() {
-            if !upstreams.contains(pool.upstream()) {
-                self.apply(edge::ControlChange::UpstreamGone(pool.upstream().clone()));
-            }
-        }
-        for member in self.tables.members().into_keys() {
-            if !members.contains(&member) {
-                self.apply(edge::ControlChange::MemberGone(member));
-            }
-        }
-    }
-
-    fn apply(&mut self, change: edge::ControlChange) {
-        match change {
-            edge::ControlChange::Config(config) => {
-                self.tables.apply_config(config);
-            }
-            edge::ControlChange::Upstream(entry) => {
-                self.forget_vanished(&entry.upstream);
-                let group = entry.group.clone();
-                self.tables.apply_upstream(entry);
-                self.ensure_monitor(group);
-            }
-            edge::ControlChange::UpstreamInvalid(upstream) => {
-                self.record_vanished(VanishedEntry::Invalid(upstream));
-            }
-            edge::ControlChange::UpstreamGone(upstream) => {
-                self.vanished
-                    .remove(&VanishedEntry::Invalid(upstream.clone()));
-                let leaving = self
-                    .tables
-                    .pool(&upstream)
-                    .is_some_and(|pool| pool.read_entry(|entry| entry.leaving));
-                if leaving {
-                    self.tables
-                        .remove_upstream(&upstream, removal_reason::RemovalReason::Left);
-                } else {
-                    self.record_vanished(VanishedEntry::Upstream(upstream));
-                }
-            }
-            edge::ControlChange::Member(vm, entry) => {
-                self.vanished.remove(&VanishedEntry::Member(vm.clone()));
-                self.tables.add_member(&vm, entry);
-            }
-            edge::ControlChange::MemberGone(vm) => {
-                if self.tables.is_member(&vm) {
-                    let mut vanished = self.tables.vanished_members.borrow_mut();
-                    vanished.insert(vm.clone());
-                }
-                self.record_vanished(VanishedEntry::Member(vm));
-            }
-            edge::ControlChange::TermStart(group, start) => {
-                self.tables.group(&group).record_term_start(start);
-            }
-            edge::ControlChange::Decision(group, claim) => {
-                self.apply_decision(&group, &claim, ClaimOrder::Next);
-            }
-        }
-    }
-
-    /// Records a claim that was read from the store.
-    fn apply_decision(&self, group: &str, claim: &edge::DecisionClaim, order: ClaimOrder) {
-        let group = self.tables.group(group);
-        let is_news = claim.number > group.decisions.latest();
-        if is_news {
-            node_log::info(
-                "decision_seen",
-                &[
-                    ("group", &group.group),
-                    ("decision", &claim.number),
-                    ("vm", &claim.vm),
-                    ("purpose", &claim.purpose),
-                    ("primary", &group.primary().as_deref().unwrap_or("-")),
-                    ("term", &group.term()),
-                ],
-            );
-        }
-        let now = node_tables::monotonic_now();
-        match order {
-            ClaimOrder::Next => {
-                group
-                    .decisions
-                    .record_claim(claim.number, &claim.purpose, now);
-            }
-            ClaimOrder::AfterGap => group.decisions.record_claim_after_gap(
-                claim.number,
-                &claim.purpose,
-                group.term(),
-                now,
-            ),
-        }
-        let is_own = is_news && claim.vm == self.tables.vm;
-        if is_own && matches!(claim.purpose, edge::ClaimPurpose::Now(_)) {
-            self.close_abandoned(&group, claim.number);
-        }
-        self.tables.changed.notify_waiters();
-    }
-
-    /// Closes a decision of this VM that it does not work on: its claim took effect after it was
-    /// abandoned, or it is from before a restart. Waits first if a promotion that this VM called
-    /// may still take effect.
-    fn close_abandoned(&self, group: &rc::Rc<group::GroupState>, number: edge::RevisionNumber) {
-        let tables = rc::Rc::clone(&self.tables);
-        let group = rc::Rc::clone(group);
-        let may_have_called = group.decisions.is_deciding() || !tables.has_complete_list();
-        let outcome = if may_have_called {
-            decision_outcome::DecisionOutcome::Unknown
-        } else {
-            decision_outcome::DecisionOutcome::Kept
-        };
-        tokio::task::spawn_local(async move {
-            while group.decisions.is_deciding() {
-                tokio::time::sleep(limits::MONITOR_TICK).await;
-            }
-            if may_have_called {
-                tokio::time::sleep(limits::PROMOTION_EFFECT_TIMEOUT).await;
-            }
-            if group.decisions.own() != number {
-                claims::spawn_close(&tables, &group, number, outcome);
-            }
-        });
-    }
-
-    /// Forgets that the entry of an upstream had vanished, since it is there again.
-    fn forget_vanished(&mut self, upstream: &ids::UpstreamId) {
-        self.vanished
-            .remove(&VanishedEntry::Upstream(upstream.clone()));
-        self.vanished
-            .remove(&VanishedEntry::Invalid(upstream.clone()));
-    }
-
-    fn record_vanished(&mut self, what: VanishedEntry) {
-        node_log::info("entry_vanished", &[("entry", &format!("{what:?}"))]);
-        self.vanished
-            .entry(what)
-            .or_insert_with(|| Instant::now() + limits::STORE_RETURN_GRACE);
-    }
-
-    fn drop_vanished(&mut self) {
-        let now = Instant::now();
-        // During an outage of the store, no entry is known to be gone.
-        if !self.tables.store_available.get() {
-            for due in self.vanished.values_mut() {
-                *due = now + limits::STORE_RETURN_GRACE;
-            }
-            return;
-        }
-        let tables = &self.tables;
-        self.vanished.retain(|what, due| {
-            if now < *due {
-                return true;
-            }
-            match what {
-                VanishedEntry::Upstream(upstream) => {
-                    tables.remove_upstream(upstream, removal_reason::RemovalReason::Vanished);
-                }
-                VanishedEntry::Invalid(upstream) => {
-                    if tables.withdraw_upstream(upstream) {
-                        *due = now + limits::STORE_RETURN_GRACE;
-                        return true;
-                    }
-                }
-                VanishedEntry::Member(member) => tables.remove_member(member),
-            }
-            false
-        });
-    }
-
-    fn ensure_monitor(&mut self, group: ids::GroupId) {
-        if self.monitored.contains(&group) {
-            return;
-        }
-        let state = self.tables.group(&group);
-        tokio::task::spawn_local(monitor::run(rc::Rc::clone(&self.tables), state));
-        self.monitored.insert(group);
-    }
 }
 
 /// Waits until the tables have to be refreshed from the store itself. A store that has just failed to
--- a/src/node/tables/mod.rs
+++ b/src/node/tables/mod.rs
@@ -6,3 +6,4 @@
 pub mod table_origin;
 pub mod table_server;
 pub mod table_source;
+pub mod table_updates;
