Ask the store at half the bound, beside the questions to other VMs

What callers saw (CONFIG): a request handled by a version that another one had replaced more than the bound before. A VM asked one VM at a time, and the store only once its tables were 4.4 s old of 5; a question to a VM and a call to the store took turns. One refused call at that moment was repeated after 1 s, beyond the bound. Change: the store is asked at half the bound, while the questions to other VMs go on, and again after 1 s from the call before. So that calm VMs do not get there, watches of followers and questions to them wait for an eighth of the bound each: 2.1 s at most with three data centres and 5 s. The test of that sum compares it with the age at which the store is asked, which is lower than the overdue age that it compared it with before.

--- a/src/node/limits.rs
+++ b/src/node/limits.rs
@@ -175,6 +175,9 @@
 pub const WATCH_MARGIN: Duration = Duration::from_millis(1_000);
 /// Upper bound of that time, as a fraction of the time within which a lost watch is noticed.
 pub const WATCH_MARGIN_PARTS: u32 = 5;
+/// Age of the tables at which a VM that gets them from others asks the store, as a fraction of the time for a
+/// configuration.
+pub const QUESTION_AGE_PARTS: u32 = 2;
 /// Upper bound of the timeout of a watch that does not wait, as a fraction of the time for a
 /// configuration.
 pub const QUESTION_PARTS: u32 = 3;
@@ -192,15 +195,15 @@
 /// Time for which a follower may wait for a change of the tables before it answers.
 pub const FOLLOWER_WAIT: Duration = Duration::from_millis(1_000);
 /// Upper bound of that time, as a fraction of the time for a configuration.
-pub const FOLLOWER_WAIT_PARTS: u32 = 5;
+pub const FOLLOWER_WAIT_PARTS: u32 = 8;
 /// Time that a follower gets for its answer beyond its wait.
 pub const FOLLOWER_MARGIN: Duration = Duration::from_millis(500);
 /// Time for which a follower that did not answer is not asked again.
 pub const FOLLOWER_PAUSE: Duration = Duration::from_secs(2);
-/// Pause between two calls to the store of a VM that asks followers, while the store does not answer.
+/// Time between two calls to the store of a VM that asks followers, while the store does not answer.
 pub const STORE_RETRY_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Upper bound of the wait of a follower's watch, as a fraction of the time for a configuration.
-pub const FOLLOWER_WATCH_PARTS: u32 = 4;
+pub const FOLLOWER_WATCH_PARTS: u32 = 8;
 /// Pause between two questions to a follower, so that a burst of changes comes in few answers.
 pub const FOLLOWER_INTERVAL: Duration = Duration::from_millis(100);
 /// Number of VMs from which on followers watch the store for the others. With fewer, a watch on each
--- a/src/node/table_follower.rs
+++ b/src/node/table_follower.rs
@@ -5,8 +5,11 @@
 
 use tokio::time::Instant;
 
+use crate::model::ids;
 use crate::node::rate_limits::{limit_task, place_check};
-use crate::node::tables::{table_origin, table_source, table_updates};
+use crate::node::tables::{
+    store_failure, store_question, table_origin, table_source, table_updates,
+};
 use crate::node::{edge, era_revision, limits, node_log, node_tables, watch_schedule};
 
 /// Keeps the tables up to date with the store as long as the node runs.
@@ -19,6 +22,8 @@
         tables,
         last_answer: None,
         store_asked: None,
+        question: None,
+        paused_until: None,
         is_late: false,
     };
     loop {
@@ -37,7 +42,7 @@
                 follower.watch_from(all.revision).await;
             }
             Err(error) => {
-                follower.record_store_error(&error);
+                store_failure::record_outage(&follower.tables, &error);
                 follower.pause().await;
             }
         }
@@ -50,106 +55,129 @@
     updates: table_updates::TableUpdates<E>,
     /// When the store last answered a watch or a listing.
     last_answer: Option<Instant>,
-    /// When the last call to the store failed, if none has succeeded since.
+    /// When the last call to the store was sent, if it failed.
     store_asked: Option<Instant>,
+    /// A call to the store that is under way beside the questions to other VMs.
+    question: Option<store_question::StoreQuestion>,
+    /// Until when no other VM is asked, so that a burst of changes comes in few answers.
+    paused_until: Option<Instant>,
     /// Whether the tables were last reported to be older than a configuration may be.
     is_late: bool,
 }
 
-/// What to do after a follower was asked.
+/// What a VM does that gets its tables from others.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum FollowStep {
+    /// It asks another VM.
+    Ask(ids::VmId),
+    /// It asks no other VM until this time.
+    Wait(Instant),
+}
+
+/// Who ended a step.
+#[derive(Debug)]
+enum FollowedAnswer {
+    /// The store, which answered a call that began at this time of [`edge::NodeEdge::boot_time`].
+    Store(edge::ControlChanges, time::Duration),
+    /// The VM that was asked, if any.
+    Vm(Option<Result<table_source::FollowerAnswer, String>>),
+}
+
+/// How a step ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum FollowOutcome {
-    /// Go on with the next question.
+    /// Go on with the next step.
     Continue,
-    /// Ask the store itself.
-    AskStore,
-    /// Read everything from the store, which was restored from a copy.
+    /// Read everything from the store: its history is gone, or it was restored from a copy.
     ReadAll,
 }
 
 impl<E: edge::NodeEdge> TableFollower<E> {
     /// Applies changes until the store no longer has the history since the last revision.
     async fn watch_from(&mut self, mut revision: edge::RevisionNumber) {
-        let tables = rc::Rc::clone(&self.tables);
         let mut times = self.waiting_times();
         loop {
             self.report_age();
             // What a question is for, only the store itself can answer.
-            if !times.wait.is_zero() {
-                match self.choose_source() {
-                    table_source::SourceChoice::Store => {}
-                    table_source::SourceChoice::Follower(follower) => {
-                        match self.follow(&follower, &mut revision).await {
-                            FollowOutcome::Continue => {}
-                            FollowOutcome::AskStore => times = self.schedule().question(),
-                            FollowOutcome::ReadAll => return,
-                        }
-                        continue;
-                    }
-                    table_source::SourceChoice::StoreFrom(from) => {
-                        tokio::select! {
-                            () = tokio::time::sleep_until(from) => {}
-                            () = self.await_refresh() => {}
-                        }
-                        times = self.schedule().question();
-                    }
-                }
-            }
-            let began_at = tables.edge.boot_time();
-            let sent_at = Instant::now();
-            let watch = tables.edge.watch(revision, times);
-            // A waiting watch may hang on a dead connection, so a refresh starts a new one.
-            let result = tokio::select! {
-                result = watch => result,
-                () = tables.refresh.notified(), if !times.wait.is_zero() => {
-                    node_log::debug(
-                        "watch_restarted",
-                        &[("waited_ms", &sent_at.elapsed().as_millis())],
-                    );
-                    times = self.schedule().question();
-                    continue;
+            let is_question = times.wait.is_zero();
+            let step = if is_question {
+                None
+            } else {
+                self.choose_step()
+            };
+            let outcome = match step {
+                Some((step, store_due)) => {
+                    let outcome = self.follow(step, store_due, &mut revision).await;
+                    times = self.waiting_times();
+                    outcome
                 }
+                None => self.watch_store(&mut revision, &mut times).await,
             };
-            match result {
-                Ok(changes) => {
-                    self.record_origin(table_origin::TableOrigin::default());
-                    self.record_store_answer(changes.changes.len());
-                    self.store_asked = None;
-                    revision = changes.revision.max(revision);
-                    self.updates.extend(changes, began_at);
-                    self.record_revision(revision, began_at);
-                    tokio::select! {
-                        () = tokio::time::sleep(self.watch_pause()) => {
-                            times = self.waiting_times();
-                        }
-                        () = tables.refresh.notified() => times = self.schedule().question(),
+            if outcome == FollowOutcome::ReadAll {
+                self.question = None;
+                return;
+            }
+            self.updates.drop_vanished();
+        }
+    }
+
+    /// Makes one call to the store, and sets the times of the next one.
+    async fn watch_store(
+        &mut self,
+        revision: &mut edge::RevisionNumber,
+        times: &mut watch_schedule::WatchTimes,
+    ) -> FollowOutcome {
+        let tables = rc::Rc::clone(&self.tables);
+        self.question = None;
+        let began_at = tables.edge.boot_time();
+        let sent_at = Instant::now();
+        let watch = tables.edge.watch(*revision, *times);
+        // A waiting watch may hang on a dead connection, so a refresh starts a new one.
+        let result = tokio::select! {
+            result = watch => result,
+            () = tables.refresh.notified(), if !times.wait.is_zero() => {
+                node_log::debug(
+                    "watch_restarted",
+                    &[("waited_ms", &sent_at.elapsed().as_millis())],
+                );
+                *times = self.schedule().question();
+                return FollowOutcome::Continue;
+            }
+        };
+        match result {
+            Ok(changes) => {
+                self.apply_store_answer(changes, began_at, revision);
+                tokio::select! {
+                    () = tokio::time::sleep(self.watch_pause()) => {
+                        *times = self.waiting_times();
                     }
+                    () = tables.refresh.notified() => *times = self.schedule().question(),
                 }
-                Err(error @ (edge::StoreError::HistoryGone | edge::StoreError::Restored)) => {
-                    node_log::warn(
-                        "store_history_gone",
-                        &[("revision", &revision), ("reason", &error)],
-                    );
-                    self.tables.missed_changes.set(true);
-                    return;
+                FollowOutcome::Continue
+            }
+            Err(error) => {
+                let failed = store_failure::FailedCall {
+                    error: &error,
+                    revision: *revision,
+                    times: *times,
+                    sent_at,
+                };
+                failed.record(&tables);
+                if failed.is_history_lost() {
+                    return FollowOutcome::ReadAll;
                 }
-                Err(error) => {
-                    self.log_failed_watch(&error, revision, times.wait, sent_at);
-                    self.record_store_error(&error);
-                    self.store_asked = Some(Instant::now());
-                    if self.source.may_ask_followers() {
-                        // The followers may reach the store although this VM does not.
-                        times = self.waiting_times();
-                        self.updates.drop_vanished();
-                        continue;
-                    }
-                    tokio::time::sleep_until(sent_at + limits::STORE_PAUSE).await;
-                    // Only a store that has just answered is asked to wait: a watch that it does
-                    // not receive would be noticed late.
-                    times = self.schedule().question();
+                self.store_asked = Some(sent_at);
+                if self.source.may_ask_followers() {
+                    // The others may reach the store although this VM does not.
+                    *times = self.waiting_times();
+                    return FollowOutcome::Continue;
                 }
+                tokio::time::sleep_until(sent_at + limits::STORE_PAUSE).await;
+                // Only a store that has just answered is asked to wait: a watch that it does
+                // not receive would be noticed late.
+                *times = self.schedule().question();
+                FollowOutcome::Continue
             }
-            self.updates.drop_vanished();
         }
     }
 
@@ -180,81 +208,177 @@
         );
     }
 
-    /// Returns where the next changes come from. When the tables are overdue, that is the store,
-    /// whichever VMs there still are to ask.
-    fn choose_source(&mut self) -> table_source::SourceChoice {
-        let due = self.store_due();
+    /// Returns what to do next and when the store is to be asked beside it, or `None` if this VM watches the
+    /// store itself.
+    fn choose_step(&mut self) -> Option<(FollowStep, Instant)> {
         let now = Instant::now();
-        if self.source.may_ask_followers() && due <= now {
-            return table_source::SourceChoice::StoreFrom(now);
-        }
-        match self.source.choose() {
+        let due = self.store_due();
+        let step = match self.source.choose() {
+            table_source::SourceChoice::Store => return None,
             table_source::SourceChoice::StoreFrom(from) => {
-                let from = self
-                    .store_retry_at()
-                    .map_or(from, |retry_at| retry_at.max(from));
-                table_source::SourceChoice::StoreFrom(from.min(due))
+                let from = self.store_retry_at().map_or(from, |at| at.max(from));
+                let due = due.min(from);
+                return Some((FollowStep::Wait(from.max(now + limits::STORE_PAUSE)), due));
             }
-            choice => choice,
-        }
+            table_source::SourceChoice::Follower(vm) => FollowStep::Ask(vm),
+        };
+        let paused_until = self.paused_until.filter(|until| now < *until);
+        Some((paused_until.map_or(step, FollowStep::Wait), due))
     }
 
     /// Returns from when on the store may be asked again, if it has just failed to answer.
     fn store_retry_at(&self) -> Option<Instant> {
         let asked = self.store_asked?;
-        Some(asked + limits::STORE_RETRY_INTERVAL)
+        Some(asked + self.store_retry_interval())
+    }
+
+    fn store_retry_interval(&self) -> time::Duration {
+        if self.tables.uses_followers() {
+            limits::STORE_RETRY_INTERVAL
+        } else {
+            limits::STORE_PAUSE
+        }
     }
 
     /// Returns when the store itself has to be asked, unless another VM passes on newer tables before. Their
     /// age counts from the call to the store on which they rest, not from the answer of that VM. See
     /// `docs/design/tables.md`, "How old the tables may be".
     fn store_due(&self) -> Instant {
-        let left = self
-            .schedule()
-            .overdue_age()
-            .saturating_sub(self.tables.config_age());
-        let overdue_at = Instant::now() + left;
+        let now = Instant::now();
+        let due = if self.tables.uses_followers() {
+            let age = self.tables.config_age();
+            now + self.schedule().question_age().saturating_sub(age)
+        } else {
+            now
+        };
         self.store_retry_at()
-            .map_or(overdue_at, |retry_at| retry_at.max(overdue_at))
+            .map_or(due, |retry_at| retry_at.max(due))
     }
 
-    /// Gets the next changes from a follower.
+    /// Takes one step, and applies the answer of the VM that was asked, or of the store.
     async fn follow(
         &mut self,
-        follower: &str,
+        step: FollowStep,
+        store_due: Instant,
         revision: &mut edge::RevisionNumber,
     ) -> FollowOutcome {
-        let tables = rc::Rc::clone(&self.tables);
-        let not_before = self.store_retry_at();
-        let store_due = self.store_due();
-        let wait = self
-            .waiting_times()
-            .wait
-            .min(self.schedule().follower_wait());
-        let sent_at = Instant::now();
-        let answer = tokio::select! {
-            answer = self.source.ask(follower, *revision, wait) => answer,
-            () = await_refresh(&tables, not_before) => return FollowOutcome::AskStore,
-            () = tokio::time::sleep_until(store_due) => {
-                let waited = sent_at.elapsed().as_millis();
-                node_log::info(
-                    "table_question_dropped",
-                    &[("vm", &follower), ("waited_ms", &waited)],
-                );
-                return FollowOutcome::AskStore;
+        let answered = match self.await_step(&step, store_due, *revision).await {
+            Ok(answered) => answered,
+            Err(outcome) => return outcome,
+        };
+        match (answered, &step) {
+            (FollowedAnswer::Store(changes, began_at), _) => {
+                self.apply_store_answer(changes, began_at, revision);
+                FollowOutcome::Continue
             }
+            (FollowedAnswer::Vm(Some(Ok(answer))), FollowStep::Ask(vm)) => {
+                self.apply_vm_answer(vm, answer, revision)
+            }
+            (FollowedAnswer::Vm(_), _) => FollowOutcome::Continue,
+        }
+    }
+
+    /// Takes one step, and asks the store beside it once that is due. The two do not wait for each other: a VM
+    /// that hangs delays no call to the store, and a store that does not answer delays no question.
+    async fn await_step(
+        &mut self,
+        step: &FollowStep,
+        mut store_due: Instant,
+        base: edge::RevisionNumber,
+    ) -> Result<FollowedAnswer, FollowOutcome> {
+        let tables = rc::Rc::clone(&self.tables);
+        let times = self.schedule().question();
+        let retry_interval = self.store_retry_interval();
+        let longest = self.schedule().follower_wait();
+        let wait = self.waiting_times().wait.min(longest);
+        let refresh_pause = match step {
+            FollowStep::Ask(_) => retry_interval,
+            FollowStep::Wait(_) => limits::STORE_PAUSE,
         };
-        let Ok(answer) = answer else {
-            return FollowOutcome::Continue;
+        let mut refresh_from = self.store_asked.map(|asked| asked + refresh_pause);
+        let source = &mut self.source;
+        let work = async {
+            match step {
+                FollowStep::Ask(vm) => Some(source.ask(vm, base, wait).await),
+                FollowStep::Wait(until) => {
+                    tokio::time::sleep_until(*until).await;
+                    None
+                }
+            }
         };
+        tokio::pin!(work);
+        let ask_store = || Some(store_question::StoreQuestion::send(&tables, base, times));
+        loop {
+            let is_asked = self.question.is_some();
+            let answered = tokio::select! {
+                answer = &mut work => return Ok(FollowedAnswer::Vm(answer)),
+                answered = store_question::StoreQuestion::take_answer(&mut self.question) => answered,
+                () = await_refresh(&tables, refresh_from), if !is_asked => {
+                    self.question = ask_store();
+                    continue;
+                }
+                () = tokio::time::sleep_until(store_due), if !is_asked => {
+                    self.question = ask_store();
+                    continue;
+                }
+            };
+            let error = match answered.result {
+                Ok(changes) => return Ok(FollowedAnswer::Store(changes, answered.began_at)),
+                Err(error) => error,
+            };
+            let failed = store_failure::FailedCall {
+                error: &error,
+                revision: base,
+                times,
+                sent_at: answered.sent_at,
+            };
+            failed.record(&tables);
+            if failed.is_history_lost() {
+                return Err(FollowOutcome::ReadAll);
+            }
+            self.store_asked = Some(answered.sent_at);
+            if matches!(step, FollowStep::Wait(_)) {
+                return Err(FollowOutcome::Continue);
+            }
+            store_due = answered.sent_at + retry_interval;
+            refresh_from = Some(store_due);
+        }
+    }
+
+    /// Applies what the store answered to this VM.
+    fn apply_store_answer(
+        &mut self,
+        changes: edge::ControlChanges,
+        began_at: time::Duration,
+        revision: &mut edge::RevisionNumber,
+    ) {
+        self.record_origin(table_origin::TableOrigin::default());
+        self.record_store_answer(changes.changes.len());
+        self.store_asked = None;
+        *revision = changes.revision.max(*revision);
+        self.updates.extend(changes, began_at);
+        self.record_revision(*revision, began_at);
+    }
+
+    /// Applies what another VM passed on.
+    fn apply_vm_answer(
+        &mut self,
+        vm: &str,
+        answer: table_source::FollowerAnswer,
+        revision: &mut edge::RevisionNumber,
+    ) -> FollowOutcome {
         let era = |number| era_revision::EraRevision::from_number(number).era;
         if era(answer.changes.revision) != era(*revision) {
             // Claims of decisions need a list that this VM has read from the restored store itself.
             return FollowOutcome::ReadAll;
         }
+        if answer.changes.revision > *revision {
+            // The answer of the store would have the changes since an earlier revision.
+            self.question = None;
+        }
         *revision = answer.changes.revision.max(*revision);
         self.record_origin(table_origin::TableOrigin {
-            vm: Some(follower.to_owned()),
+            vm: Some(vm.to_owned()),
             hops: answer.hops,
         });
         if answer.is_listing {
@@ -263,17 +387,8 @@
             self.updates.extend(answer.changes, answer.began_at);
         }
         self.record_revision(*revision, answer.began_at);
-        self.updates.drop_vanished();
-        tokio::select! {
-            () = tokio::time::sleep(limits::FOLLOWER_INTERVAL) => FollowOutcome::Continue,
-            () = await_refresh(&tables, not_before) => FollowOutcome::AskStore,
-        }
-    }
-
-    /// Waits until the tables have to be refreshed from the store itself.
-    async fn await_refresh(&self) {
-        let not_before = self.store_asked.map(|asked| asked + limits::STORE_PAUSE);
-        await_refresh(&self.tables, not_before).await;
+        self.paused_until = Some(Instant::now() + limits::FOLLOWER_INTERVAL);
+        FollowOutcome::Continue
     }
 
     fn record_origin(&self, origin: table_origin::TableOrigin) {
@@ -337,35 +452,6 @@
         self.updates.drop_vanished();
     }
 
-    /// Logs a watch that failed. If the store answered another call of this VM while the watch
-    /// waited, only the watch or its answer was lost, and the store was available.
-    fn log_failed_watch(
-        &self,
-        error: &edge::StoreError,
-        revision: edge::RevisionNumber,
-        wait: time::Duration,
-        sent_at: Instant,
-    ) {
-        let contact_age = self
-            .tables
-            .store_contact
-            .get()
-            .map(|contact| node_tables::monotonic_now().saturating_sub(contact));
-        let waited = sent_at.elapsed();
-        let answered_meanwhile = contact_age.is_some_and(|age| age < waited);
-        metrics::counter!("persimmontack_watches_failed_total").increment(1);
-        node_log::warn(
-            "watch_failed",
-            &[
-                ("reason", error),
-                ("revision", &revision),
-                ("wait_ms", &wait.as_millis()),
-                ("waited_ms", &waited.as_millis()),
-                ("store_answered_meanwhile", &answered_meanwhile),
-            ],
-        );
-    }
-
     /// Records that the store answered with a number of changes.
     fn record_store_answer(&mut self, changes: usize) {
         metrics::gauge!("persimmontack_store_up").set(1.0);
@@ -399,21 +485,6 @@
         );
         self.tables.record_restore();
     }
-
-    /// Records that the store is unavailable.
-    fn record_store_error(&mut self, error: &edge::StoreError) {
-        self.tables.missed_changes.set(true);
-        metrics::gauge!("persimmontack_store_up").set(0.0);
-        if !self.tables.store_available.replace(false) {
-            return;
-        }
-        self.tables
-            .store_lost_at
-            .set(Some(self.tables.edge.boot_time()));
-        node_log::warn("store_lost", &[("reason", error)]);
-        // VMs that wait for this one have to ask others.
-        self.tables.store_image.changed.notify_waiters();
-    }
 }
 
 /// Waits until the tables have to be refreshed from the store itself. A store that has just failed to
--- a/src/node/watch_schedule.rs
+++ b/src/node/watch_schedule.rs
@@ -47,6 +47,13 @@
         }
     }
 
+    /// Returns the age, since the call to the store began, at which a VM that gets its tables from others asks
+    /// the store itself. Time is left for a call that is not answered, and for another one.
+    #[must_use]
+    pub fn question_age(self) -> time::Duration {
+        self.apply_limit / limits::QUESTION_AGE_PARTS
+    }
+
     /// Returns the age, since the call to the store began, at which the tables of a VM are overdue,
     /// whoever passed them on: time is left for one call to the store then.
     #[must_use]
@@ -57,7 +64,7 @@
 
     /// Returns how long a watch of a VM may wait that passes the tables on. Just before it is answered,
     /// the latest answer is that of the watch before, so two of them and the wait of a question to this
-    /// VM have to fit into the overdue age.
+    /// VM have to fit into the age at which the store is asked.
     #[must_use]
     pub fn followed_wait(self) -> time::Duration {
         self.apply_limit / limits::FOLLOWER_WATCH_PARTS
--- a/tests/node_configuration_age.rs
+++ b/tests/node_configuration_age.rs
@@ -200,10 +200,10 @@
     });
 }
 
-/// Guards against VMs that all ask the store on a calm day, since their tables count as overdue while
+/// Guards against VMs that all ask the store on a calm day, since their tables reach the age for that while
 /// watches and questions wait as long as they may.
 #[test]
-fn tables_are_not_overdue_while_all_answers_come_as_late_as_they_may() {
+fn no_vm_asks_the_store_while_all_answers_come_as_late_as_they_may() {
     // Data centres, and bounds for configurations.
     let cases = [(3, 3_000), (3, 5_000), (17, 5_000), (17, 60_000)];
     for (data_centres, apply_ms) in cases {
@@ -213,6 +213,6 @@
         let watch = schedule.waiting(schedule.followed_wait(), pause);
         let follower_age = (watch.wait + pause) * 2;
         let age = follower_age + limits::FOLLOWER_INTERVAL + schedule.follower_wait();
-        assert!(age < schedule.overdue_age(), "{apply_ms} ms: {age:?}");
+        assert!(age < schedule.question_age(), "{apply_ms} ms: {age:?}");
     }
 }
