Ask VMs that failed after the others, and new ones for an answer at once

What callers saw (CONFIG, and requests refused with no_database by tables 10 s old): a VM that the store does not answer kept an old configuration although others in its reach had the new one. Cause: the VMs that are asked were taken in one order, and one that failed was asked again after 2 s. Two or three that hang, at over a second each, were asked in turn and nobody else. Change: a VM that did not answer is asked after all others for 10 s, and one that has not answered before is asked without a wait, so that one that hangs costs 0.5 s.

--- a/src/node/limits.rs
+++ b/src/node/limits.rs
@@ -200,6 +200,8 @@
 pub const FOLLOWER_MARGIN: Duration = Duration::from_millis(500);
 /// Time for which a follower that did not answer is not asked again.
 pub const FOLLOWER_PAUSE: Duration = Duration::from_secs(2);
+/// Time for which a follower that did not answer is asked after the others.
+pub const FOLLOWER_MEMORY: Duration = Duration::from_secs(10);
 /// Time between two calls to the store of a VM that asks followers, while the store does not answer.
 pub const STORE_RETRY_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Upper bound of the wait of a follower's watch, as a fraction of the time for a configuration.
--- a/src/node/tables/table_source.rs
+++ b/src/node/tables/table_source.rs
@@ -49,7 +49,7 @@
 pub struct TableSource<E: edge::NodeEdge> {
     tables: rc::Rc<node_tables::NodeTables<E>>,
     stream: Option<FollowerStream>,
-    /// Followers that did not answer, and until when they are not asked.
+    /// VMs that did not answer, and when that was.
     failed: collections::BTreeMap<ids::VmId, Instant>,
     /// The VM that answered last, and until when it is asked before the others.
     found: Option<(ids::VmId, Instant)>,
@@ -74,37 +74,50 @@
         self.tables.uses_followers() && !watches
     }
 
-    /// Returns how many VMs are not asked for a while, since they did not answer.
+    /// Returns how many VMs have not answered lately.
     #[must_use]
     pub fn failed_count(&self) -> usize {
         self.failed.len()
     }
 
+    /// Returns whether a VM is not asked for a while, since it did not answer.
+    fn is_paused(&self, follower: &str, now: Instant) -> bool {
+        let failed_at = self.failed.get(follower);
+        failed_at.is_some_and(|failed_at| now < *failed_at + limits::FOLLOWER_PAUSE)
+    }
+
+    /// Returns whether a VM is the one that answered last.
+    fn is_found(&self, follower: &str) -> bool {
+        self.found.as_ref().is_some_and(|(vm, _)| vm == follower)
+    }
+
     /// Returns where the next changes come from.
     pub fn choose(&mut self) -> SourceChoice {
         if !self.may_ask_followers() {
             return SourceChoice::Store;
         }
         let now = Instant::now();
-        self.failed.retain(|_, until| now < *until);
+        self.failed
+            .retain(|_, failed_at| now < *failed_at + limits::FOLLOWER_MEMORY);
         let followers = self.tables.table_followers();
         self.found = self
             .found
             .take()
             .filter(|(found, until)| now < *until && followers.contains(found));
         let found = self.found.iter().map(|(found, _)| found);
+        // Those that failed come last, or a few that hang would be asked in turn and nobody else.
         let usable = found
             .chain(&followers)
-            .find(|follower| !self.failed.contains_key(*follower))
-            .cloned();
+            .filter(|follower| !self.is_paused(follower, now))
+            .min_by_key(|follower| self.failed.get(*follower));
         if let Some(follower) = usable {
-            return SourceChoice::Follower(follower);
+            return SourceChoice::Follower(follower.clone());
         }
         SourceChoice::StoreFrom(now + store_delay(&self.tables.vm))
     }
 
-    /// Asks a follower for the changes after a revision. The follower may wait for
-    /// `wait` before it answers.
+    /// Asks a follower for the changes after a revision. One that has answered before may wait for `wait`
+    /// before it answers again; another one answers at once, so that one that hangs is noticed soon.
     ///
     /// # Errors
     ///
@@ -116,6 +129,8 @@
         after: edge::RevisionNumber,
         wait: time::Duration,
     ) -> Result<FollowerAnswer, String> {
+        let is_known = self.is_found(follower);
+        let wait = if is_known { wait } else { time::Duration::ZERO };
         let limit = wait + limits::FOLLOWER_MARGIN;
         let config = self.tables.config().map_or(0, |config| config.version);
         let query = table_frame::TableQuery {
@@ -126,14 +141,12 @@
         let result = tokio::time::timeout(limit, self.exchange(follower, query))
             .await
             .unwrap_or_else(|elapsed| Err(elapsed.to_string()));
-        let is_known = self.found.as_ref().is_some_and(|(vm, _)| vm == follower);
         if result.is_ok() && !is_known {
             let until = Instant::now() + limits::FOLLOWER_KEEP;
             self.found = Some((follower.to_owned(), until));
         }
         if let Err(reason) = &result {
-            let until = Instant::now() + limits::FOLLOWER_PAUSE;
-            self.failed.insert(follower.to_owned(), until);
+            self.failed.insert(follower.to_owned(), Instant::now());
             metrics::counter!("persimmontack_table_followers_lost_total").increment(1);
             node_log::info(
                 "table_follower_lost",
