--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -132,7 +132,12 @@
         reader.expect().await.map_err(|error| error.to_string())
     }
 
-    async fn open<E: edge::NodeEdge>(
+    /// Opens a stream to a VM.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the VM is not a member or cannot be reached.
+    pub async fn open<E: edge::NodeEdge>(
         &self,
         tables: &node_tables::NodeTables<E>,
         vm: &str,
--- a/tests/node_configuration_ways.rs
+++ b/tests/node_configuration_ways.rs
@@ -151,7 +151,7 @@
         let reader = first_reader(&nodes);
         edge.network.cuts.cut(&reader.tables.vm, &CutTarget::Store);
         for node in &nodes {
-            if node.tables.is_table_follower() {
+            if node.tables.vm != reader.tables.vm {
                 edge.network.hang(node.tables.own_entry.address);
             }
         }
