Let one of few VMs that the store turns away ask the others

Cause: with fewer than 16 known members, a VM asked the store only. Each of the others watches the store and can answer. Evidence: test one_of_few_vms_that_the_store_turns_away_gets_tables_from_the_others, which failed before (version 1 after 5 s). Change: a VM that the store does not serve asks other members and former ones, however many there are.

--- a/src/node/table_follower.rs
+++ b/src/node/table_follower.rs
@@ -168,7 +168,7 @@
                     return FollowOutcome::ReadAll;
                 }
                 self.store_asked = Some(sent_at);
-                if self.source.may_ask_followers() {
+                if self.source.may_ask_others() {
                     // The others may reach the store although this VM does not.
                     *times = self.waiting_times();
                     return FollowOutcome::Continue;
--- a/src/node/tables/table_source.rs
+++ b/src/node/tables/table_source.rs
@@ -67,11 +67,15 @@
         }
     }
 
-    /// Returns whether this VM may ask followers.
+    /// Returns whether this VM may ask others: it does not watch the store itself, or the store does not serve
+    /// it.
     #[must_use]
-    pub fn may_ask_followers(&self) -> bool {
-        let watches = self.tables.is_table_follower() && self.tables.store_available.get();
-        self.tables.uses_followers() && !watches
+    pub fn may_ask_others(&self) -> bool {
+        !self.watches_store() && !self.tables.table_followers().is_empty()
+    }
+
+    fn watches_store(&self) -> bool {
+        self.tables.is_table_follower() && self.tables.store_available.get()
     }
 
     /// Returns how many VMs have not answered lately.
@@ -93,13 +97,16 @@
 
     /// Returns where the next changes come from.
     pub fn choose(&mut self) -> SourceChoice {
-        if !self.may_ask_followers() {
+        if self.watches_store() {
+            return SourceChoice::Store;
+        }
+        let followers = self.tables.table_followers();
+        if followers.is_empty() {
             return SourceChoice::Store;
         }
         let now = Instant::now();
         self.failed
             .retain(|_, failed_at| now < *failed_at + limits::FOLLOWER_MEMORY);
-        let followers = self.tables.table_followers();
         self.found = self
             .found
             .take()
