Ask other VMs while the store refuses a listing

What callers would see: a VM whose history is gone at the store keeps its configuration for as long as the listing fails. Cause: the listing was tried again after a pause, and nobody else was asked, although others have the changes since. Evidence: test a_vm_whose_listing_fails_gets_tables_from_others, which failed before (tables 5.1 s old). Change: after a listing that failed, the VM goes on from the revision that it knows, with other VMs and the store.

--- a/src/node/table_follower.rs
+++ b/src/node/table_follower.rs
@@ -44,7 +44,13 @@
             }
             Err(error) => {
                 store_failure::record_outage(&follower.tables, &error);
+                follower.store_asked = Some(Instant::now());
                 follower.pause().await;
+                let known = follower.tables.revision.get();
+                if known > 0 {
+                    // The others may have what changed since, although the store does not list it.
+                    follower.watch_from(known).await;
+                }
             }
         }
     }
