Keep a configuration on one VM in the tests of relayed workspaces

Two tests apply a configuration on one VM only and need the other one to be behind. The network of the simulation refuses that kind of stream in these tests; what they check is unchanged.

--- a/standins/src/cluster/peer_network.rs
+++ b/standins/src/cluster/peer_network.rs
@@ -6,7 +6,7 @@
 use std::net;
 use std::sync;
 
-use persimmontack::link::{hello, server};
+use persimmontack::link::{hello, server, stream_kind};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::sync::mpsc;
 
@@ -27,11 +27,15 @@
 /// Streams that a VM does not serve although its links are open, or `None` if it serves all.
 type HeldStreams = sync::Arc<sync::Mutex<Option<Vec<server::PeerStream>>>>;
 
+/// Kinds of streams that no VM serves.
+type RefusedKinds = sync::Arc<sync::Mutex<Vec<stream_kind::StreamKind>>>;
+
 /// An in-memory network between the VMs of a test.
 #[derive(Debug, Default)]
 pub struct PeerNetwork {
     /// Cuts in force.
     pub cuts: cut_table::CutTable,
+    refused: RefusedKinds,
     listening: cell::RefCell<collections::BTreeMap<net::SocketAddr, ListenState>>,
 }
 
@@ -65,6 +69,11 @@
         }
     }
 
+    /// Has all VMs refuse streams of a kind from now on.
+    pub fn refuse(&self, kind: stream_kind::StreamKind) {
+        lock(&self.refused).push(kind);
+    }
+
     /// Breaks all links to `address`. New ones are accepted and answer pings, but their streams are not served,
     /// as at a process that hardly runs.
     pub fn hang(&self, address: net::SocketAddr) {
@@ -91,9 +100,12 @@
         let hello = state.hello.clone();
         let streams = state.streams.clone();
         let held = sync::Arc::clone(&state.held);
+        let refused = sync::Arc::clone(&self.refused);
         state.connections.push(tokio::spawn(async move {
-            let handler = move |stream| {
+            let handler = move |stream: server::PeerStream| {
                 match &mut *lock(&held) {
+                    // Its sender sees that the stream has ended.
+                    _ if lock(&refused).contains(&stream.kind) => drop(stream),
                     Some(held) => held.push(stream),
                     // Fails only after the test has dropped the VM.
                     None => drop(streams.send(stream)),
@@ -141,8 +153,8 @@
     }
 }
 
-fn lock(held: &HeldStreams) -> sync::MutexGuard<'_, Option<Vec<server::PeerStream>>> {
-    held.lock().unwrap_or_else(sync::PoisonError::into_inner)
+fn lock<T>(shared: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
+    shared.lock().unwrap_or_else(sync::PoisonError::into_inner)
 }
 
 /// Forwards bytes in one direction until the connection ends.
