Run no relayed request by an older configuration than its sender's

What callers would see (CONFIG): a VM in touch refuses a database that is back, or runs a statement at the old group, as a host that does not reach the store handles the request by its own version. Cause: a relayed request did not say by which version it was forwarded. Evidence: test a_host_that_is_behind_does_not_refuse_a_database_that_is_back, which failed before (NoDatabase). Change: the request carries the version. An open transaction goes on with the route with which it began. The link's protocol version rises to 7.

--- a/src/link/hello.rs
+++ b/src/link/hello.rs
@@ -6,7 +6,7 @@
 
 /// Version of the protocol between the system's processes. It changes with every incompatible
 /// change of a message, and a process refuses a peer of another version.
-pub const PROTOCOL_VERSION: u32 = 6;
+pub const PROTOCOL_VERSION: u32 = 7;
 
 /// Identifies the process at one end of a link.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/src/node/edge.rs
+++ b/src/node/edge.rs
@@ -41,6 +41,15 @@
     fn take_state(&mut self) -> Option<session_state::SessionState> {
         None
     }
+    /// Returns the version of the configuration by which another VM forwarded the last request, or 0.
+    fn forwarded_config(&self) -> config::ConfigVersion {
+        0
+    }
+    /// Tells the VM that forwarded the last request that this one has an older configuration, and that the
+    /// request has not run.
+    fn refuse_behind(&mut self) -> impl Future<Output = io::Result<()>> {
+        std::future::ready(Ok(()))
+    }
     /// Records the size of the session's values and prepared statements.
     fn record_state(&self, _bytes: usize) {}
     /// Closes the connection between two requests.
--- a/src/node/relay_frame.rs
+++ b/src/node/relay_frame.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::model::ids;
-use crate::node::{answers, request, session_state};
+use crate::node::{answers, config, request, session_state};
 
 /// A frame to the host. The first one on a stream is `Open`.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -17,6 +17,8 @@
     },
     /// Runs a statement.
     Request {
+        /// Version of the configuration by which the sender forwards it.
+        config: config::ConfigVersion,
         /// Session values and prepared statements, if they have changed since the last statement.
         state: Option<Box<session_state::SessionState>>,
         /// The statement.
@@ -31,6 +33,8 @@
     Welcome,
     /// The session was rejected, and the stream ends.
     Rejected(answers::StatementError),
+    /// The host has an older configuration than the sender of the oldest unanswered request, which has not run.
+    Behind,
     /// The answer to the oldest unanswered request.
     Answer(answers::CallerAnswer),
     /// The host ends the session. Requests that are not answered yet have not run.
--- a/src/node/session.rs
+++ b/src/node/session.rs
@@ -99,6 +99,12 @@
                 self.state_bytes = state.bytes();
                 self.state = rc::Rc::new(state);
             }
+            if self.is_behind(link.forwarded_config()) {
+                if link.refuse_behind().await.is_err() {
+                    return;
+                }
+                continue;
+            }
             let handled = match self.key.verify(&tables) {
                 Ok(()) => self.handle(&request).await,
                 Err(refusal) => Err(refusal),
@@ -122,6 +128,20 @@
         }
     }
 
+    /// Returns whether another VM forwards a request by a newer configuration than this VM has. An open
+    /// transaction goes on with the route with which it began.
+    fn is_behind(&self, forwarded: config::ConfigVersion) -> bool {
+        let version = self.tables.config().map_or(0, |config| config.version);
+        let is_behind = version < forwarded && !self.in_transaction();
+        if is_behind {
+            node_log::warn(
+                "config_behind",
+                &[("config", &version), ("forwarded", &forwarded)],
+            );
+        }
+        is_behind
+    }
+
     async fn wait_idle_timeout(&self) {
         let is_bound = self
             .transaction
--- a/src/node/tables/config_spread.rs
+++ b/src/node/tables/config_spread.rs
@@ -44,11 +44,8 @@
                 if tables.peers.is_unreachable(&vm) {
                     continue;
                 }
-                let offer = tokio::time::timeout(limits::CONFIG_OFFER_TIMEOUT, offer(tables, &vm));
-                match offer.await {
-                    Ok(Ok(())) => return,
-                    Ok(Err(error)) => log_untold(&vm, &error),
-                    Err(elapsed) => log_untold(&vm, &elapsed),
+                if offer_or_log(tables, &vm).await {
+                    return;
                 }
             }
         }
@@ -56,6 +53,20 @@
     future::join_all(tells).await;
 }
 
+/// Offers a VM the configuration in force. Returns whether the VM has it now.
+pub async fn offer_or_log<E: edge::NodeEdge>(
+    tables: &node_tables::NodeTables<E>,
+    vm: &str,
+) -> bool {
+    let offer = tokio::time::timeout(limits::CONFIG_OFFER_TIMEOUT, offer(tables, vm));
+    match offer.await {
+        Ok(Ok(())) => return true,
+        Ok(Err(error)) => log_untold(vm, &error),
+        Err(elapsed) => log_untold(vm, &elapsed),
+    }
+    false
+}
+
 fn log_untold(vm: &str, reason: &dyn std::fmt::Display) {
     node_log::debug("config_untold", &[("vm", &vm), ("reason", reason)]);
 }
