Refuse a relayed request only where the host's tables are old

Cause: a host refused whatever its sender knew first, though a version may come into force within the bound. The test of a host that is behind waits for the bound, with configurations and tables kept from the host; it fails without the check (NoDatabase).

--- a/src/node/session.rs
+++ b/src/node/session.rs
@@ -128,11 +128,13 @@
         }
     }
 
-    /// Returns whether another VM forwards a request by a newer configuration than this VM has. An open
-    /// transaction goes on with the route with which it began.
+    /// Returns whether another VM forwards a request by a newer configuration than this VM has, and the tables of
+    /// this VM are so old that the one here may have been out of force for too long. An open transaction goes on
+    /// with the route with which it began.
     fn is_behind(&self, forwarded: config::ConfigVersion) -> bool {
         let version = self.tables.config().map_or(0, |config| config.version);
-        let is_behind = version < forwarded && !self.in_transaction();
+        let is_old = self.tables.config_age() > self.tables.watch_schedule().question_age();
+        let is_behind = version < forwarded && is_old && !self.in_transaction();
         if is_behind {
             node_log::warn(
                 "config_behind",
