Refuse a relayed request only for a route that the host lacks

Cause: the version alone decided, although most versions change nothing for a database. Change: a forwarded request carries the group too, and a host that is behind refuses only a database that it lacks or has in another group.

--- a/src/node/edge.rs
+++ b/src/node/edge.rs
@@ -13,8 +13,8 @@
 use crate::node::admission::admission_control;
 use crate::node::workspaces::{caller_hello, workspace_binding};
 use crate::node::{
-    answers, command, config, member, primary_change, request, session_state, upstream_entry,
-    watch_schedule,
+    answers, command, config, member, primary_change, relay_frame, request, session_state,
+    upstream_entry, watch_schedule,
 };
 
 /// Revision of the store; it increases with every change, also when the store is restored from a
@@ -41,9 +41,9 @@
     fn take_state(&mut self) -> Option<session_state::SessionState> {
         None
     }
-    /// Returns the version of the configuration by which another VM forwarded the last request, or 0.
-    fn forwarded_config(&self) -> config::ConfigVersion {
-        0
+    /// Returns the route by which another VM forwarded the last request, if one did.
+    fn forwarded_route(&self) -> Option<&relay_frame::ForwardedRoute> {
+        None
     }
     /// Tells the VM that forwarded the last request that this one has an older configuration, and that the
     /// request has not run.
--- a/src/node/relay.rs
+++ b/src/node/relay.rs
@@ -332,7 +332,10 @@
             .then(|| Box::new((**job.state).clone()));
         stream.sent_state = rc::Rc::clone(job.state);
         let frame = relay_frame::RelayFrame::Request {
-            config: tables.config().map_or(0, |config| config.version),
+            route: relay_frame::ForwardedRoute {
+                config: tables.config().map_or(0, |config| config.version),
+                group: job.route.group.clone(),
+            },
             state,
             request: job.request.clone(),
         };
--- a/src/node/relay_caller.rs
+++ b/src/node/relay_caller.rs
@@ -13,8 +13,8 @@
 use crate::node::tables::{config_spread, table_server};
 use crate::node::workspaces::{caller_hello, workspace_binding};
 use crate::node::{
-    answers, config, edge, isolation, node_log, node_tables, notices, peer_list, relay_frame,
-    request, session_start, session_state, status, stop,
+    answers, edge, isolation, node_log, node_tables, notices, peer_list, relay_frame, request,
+    session_start, session_state, status, stop,
 };
 
 /// Number of times that a request is held while it is served: its text, and the copy for the
@@ -78,8 +78,8 @@
     state: Option<session_state::SessionState>,
     /// Whether a request was received that is not answered yet.
     unanswered: bool,
-    /// Version of the configuration by which the latest request was forwarded.
-    config: config::ConfigVersion,
+    /// The route by which the latest request was forwarded.
+    route: Option<relay_frame::ForwardedRoute>,
 }
 
 impl RelayCaller {
@@ -91,7 +91,7 @@
             account,
             state: None,
             unanswered: false,
-            config: 0,
+            route: None,
         }
     }
 
@@ -183,11 +183,11 @@
     async fn receive(&mut self) -> Result<request::CallerRequest, edge::CallerError> {
         match self.next().await? {
             relay_frame::RelayFrame::Request {
-                config,
+                route,
                 state,
                 request,
             } => {
-                self.config = config;
+                self.route = Some(route);
                 if let Some(state) = &state {
                     self.account.charge_session(state.bytes());
                 }
@@ -224,8 +224,8 @@
         self.send(&reply).await
     }
 
-    fn forwarded_config(&self) -> config::ConfigVersion {
-        self.config
+    fn forwarded_route(&self) -> Option<&relay_frame::ForwardedRoute> {
+        self.route.as_ref()
     }
 
     async fn refuse_behind(&mut self) -> io::Result<()> {
--- a/src/node/relay_frame.rs
+++ b/src/node/relay_frame.rs
@@ -5,6 +5,15 @@
 use crate::model::ids;
 use crate::node::{answers, config, request, session_state};
 
+/// The route by which a VM forwards a request.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ForwardedRoute {
+    /// Version of the configuration that has it.
+    pub config: config::ConfigVersion,
+    /// Group of the database.
+    pub group: ids::GroupId,
+}
+
 /// A frame to the host. The first one on a stream is `Open`.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RelayFrame {
@@ -17,8 +26,8 @@
     },
     /// Runs a statement.
     Request {
-        /// Version of the configuration by which the sender forwards it.
-        config: config::ConfigVersion,
+        /// The route by which the sender forwards it.
+        route: ForwardedRoute,
         /// Session values and prepared statements, if they have changed since the last statement.
         state: Option<Box<session_state::SessionState>>,
         /// The statement.
@@ -33,7 +42,8 @@
     Welcome,
     /// The session was rejected, and the stream ends.
     Rejected(answers::StatementError),
-    /// The host has an older configuration than the sender of the oldest unanswered request, which has not run.
+    /// The host has an older configuration than the sender of the oldest unanswered request, with another route.
+    /// The request has not run.
     Behind,
     /// The answer to the oldest unanswered request.
     Answer(answers::CallerAnswer),
--- a/src/node/session.rs
+++ b/src/node/session.rs
@@ -9,8 +9,8 @@
 use crate::node::rate_limits::admission;
 use crate::node::workspaces::{key_check, key_refusal, session_end};
 use crate::node::{
-    answers, attempt, config, edge, group, node_log, node_tables, reads, relay, request,
-    request_report, session_start, session_state, stop, transaction, writes,
+    answers, attempt, config, edge, group, node_log, node_tables, reads, relay, relay_frame,
+    request, request_report, session_start, session_state, stop, transaction, writes,
 };
 
 /// The session of one caller.
@@ -99,7 +99,8 @@
                 self.state_bytes = state.bytes();
                 self.state = rc::Rc::new(state);
             }
-            if self.is_behind(link.forwarded_config()) {
+            let forwarded = link.forwarded_route();
+            if forwarded.is_some_and(|forwarded| self.is_behind(forwarded)) {
                 if link.refuse_behind().await.is_err() {
                     return;
                 }
@@ -128,17 +129,22 @@
         }
     }
 
-    /// Returns whether another VM forwards a request by a newer configuration than this VM has, and the tables of
-    /// this VM are so old that the one here may have been out of force for too long. An open transaction goes on
-    /// with the route with which it began.
-    fn is_behind(&self, forwarded: config::ConfigVersion) -> bool {
-        let version = self.tables.config().map_or(0, |config| config.version);
-        let is_old = self.tables.config_age() > self.tables.watch_schedule().question_age();
-        let is_behind = version < forwarded && is_old && !self.in_transaction();
+    /// Returns whether another VM forwards a request by a newer configuration, with a route that this VM does not
+    /// have. An open transaction goes on with the route with which it began.
+    fn is_behind(&self, forwarded: &relay_frame::ForwardedRoute) -> bool {
+        let config = self.tables.config();
+        let version = config.as_ref().map_or(0, |config| config.version);
+        if version >= forwarded.config || self.in_transaction() {
+            return false;
+        }
+        let route = config
+            .as_ref()
+            .and_then(|config| config.routes.get(&self.database));
+        let is_behind = route.is_none_or(|route| route.group != forwarded.group);
         if is_behind {
             node_log::warn(
                 "config_behind",
-                &[("config", &version), ("forwarded", &forwarded)],
+                &[("config", &version), ("forwarded", &forwarded.config)],
             );
         }
         is_behind
