Take back offers of configurations

A failed try. Offers along a ring of the VMs stood beside the questions as a second way. VMs that are slow were asked to open links all the time; callers got less. A host that is behind still refuses no database that its sender has: the sender tries the next host.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -5,7 +5,6 @@
 pub mod admission_budget;
 pub mod commit_evidence;
 pub mod commit_outcome;
-pub mod config_ring;
 pub mod connection_plan;
 pub mod customer_queue;
 pub mod customer_shares;
--- a/src/keeper/daemon.rs
+++ b/src/keeper/daemon.rs
@@ -148,7 +148,6 @@
                     | stream_kind::StreamKind::Lead
                     | stream_kind::StreamKind::Group
                     | stream_kind::StreamKind::Follow
-                    | stream_kind::StreamKind::Config
                     | stream_kind::StreamKind::Limits
                     | stream_kind::StreamKind::Place => {
                         stream.writer.abort();
--- a/src/link/stream_kind.rs
+++ b/src/link/stream_kind.rs
@@ -24,8 +24,6 @@
     Group,
     /// Asks a follower for changes of the tables. Node to node.
     Follow,
-    /// Offers a newer configuration. Node to node.
-    Config,
     /// Tokens of workspaces with a rate limit. Node to node.
     Limits,
     /// Asks whether a VM still has its place among the members. Node to node.
@@ -49,7 +47,6 @@
             Self::Lead => "/lead",
             Self::Group => "/group",
             Self::Follow => "/follow",
-            Self::Config => "/config",
             Self::Limits => "/limits",
             Self::Place => "/place",
             Self::Control => "/control",
@@ -70,7 +67,6 @@
             Self::Lead,
             Self::Group,
             Self::Follow,
-            Self::Config,
             Self::Limits,
             Self::Place,
             Self::Control,
--- a/src/node/limits.rs
+++ b/src/node/limits.rs
@@ -208,8 +208,6 @@
 pub const FOLLOWER_WATCH_PARTS: u32 = 8;
 /// Pause between two questions to a follower, so that a burst of changes comes in few answers.
 pub const FOLLOWER_INTERVAL: Duration = Duration::from_millis(100);
-/// Time within which a VM has to answer the offer of a configuration, before the next one is told.
-pub const CONFIG_OFFER_TIMEOUT: Duration = Duration::from_millis(500);
 /// Number of VMs from which on followers watch the store for the others. With fewer, a watch on each
 /// VM costs little.
 pub const MIN_FOLLOWED_MEMBERS: u32 = 16;
--- a/src/node/node_tables.rs
+++ b/src/node/node_tables.rs
@@ -12,7 +12,7 @@
 use crate::model::ids;
 use crate::node::admission::admission_control;
 use crate::node::connections::workspace_hosts;
-use crate::node::tables::{store_image, table_frame, table_origin, table_source};
+use crate::node::tables::{store_image, table_origin, table_source};
 use crate::node::{
     config, edge, former_members, group, hosts, isolation, limits, member, monitor, node_log,
     peers, pool, rate_limits, removal_reason, removed_upstreams, upstream_entry, watch_schedule,
@@ -175,16 +175,6 @@
         self.config.borrow().clone()
     }
 
-    /// Returns the configuration in force, to be passed on, if it is newer than `known`.
-    #[must_use]
-    pub fn newer_config(&self, known: config::ConfigVersion) -> Option<table_frame::ConfigReport> {
-        let config = self.config().filter(|config| config.version > known)?;
-        Some(table_frame::ConfigReport {
-            config: (*config).clone(),
-            hops: self.config_origin.borrow().hops.saturating_add(1),
-        })
-    }
-
     /// Returns the time since the call to the store began, of this VM or another one, that last showed
     /// that no newer configuration is acknowledged.
     #[must_use]
@@ -607,14 +597,6 @@
         order
     }
 
-    /// Returns the members, and the VMs that were members until a while ago.
-    #[must_use]
-    pub fn members_and_former(&self) -> Vec<ids::VmId> {
-        let members = self.members.borrow();
-        let former = self.former_members.borrow().names(monotonic_now());
-        members.keys().cloned().chain(former).collect()
-    }
-
     /// Returns VMs that may be asked for tables beside `followers` while the store does not serve this VM. It may
     /// turn all followers away too. A VM that the store serves asks the store instead, since VMs that asked
     /// each other would learn nothing new.
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -17,15 +17,6 @@
 /// Name of this program in the hello message of a link.
 pub const PROGRAM: &str = "persimmon-node";
 
-/// What a link is for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum LinkPurpose {
-    /// Requests of callers, decisions and limits. A VM that cannot be reached is not tried again for a while.
-    Work,
-    /// Tables and configurations, for which any other VM will do. A failed attempt keeps no work from the VM.
-    Tables,
-}
-
 #[derive(Debug, Default)]
 struct PeerState {
     client: sync::Mutex<Option<(net::SocketAddr, client::PeerClient)>>,
@@ -49,20 +40,6 @@
         &self,
         tables: &node_tables::NodeTables<E>,
         vm: &str,
-    ) -> Result<client::PeerClient, String> {
-        self.connect_for(tables, vm, LinkPurpose::Work).await
-    }
-
-    /// Returns an open link to a VM for a purpose, and connects if needed.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the VM is not a member or cannot be reached.
-    pub async fn connect_for<E: edge::NodeEdge>(
-        &self,
-        tables: &node_tables::NodeTables<E>,
-        vm: &str,
-        purpose: LinkPurpose,
     ) -> Result<client::PeerClient, String> {
         let Some(address) = tables.member_address(vm) else {
             return Err(format!("{vm} is not a member"));
@@ -114,10 +91,8 @@
                     &[("vm", &vm), ("address", &address), ("reason", &error)],
                 );
                 *known = None;
-                if purpose == LinkPurpose::Work {
-                    let moment = Instant::now() + limits::PEER_PAUSE;
-                    state.not_before.set(Some(moment));
-                }
+                let moment = Instant::now() + limits::PEER_PAUSE;
+                state.not_before.set(Some(moment));
                 Err(error)
             }
         }
--- a/src/node/relay.rs
+++ b/src/node/relay.rs
@@ -13,7 +13,6 @@
 use crate::model::ids;
 use crate::node::admission::transit_charge;
 use crate::node::connections::workspace_hosts;
-use crate::node::tables::config_spread;
 use crate::node::workspaces::workspace_binding;
 use crate::node::{
     answers, attempt, config, edge, limits, node_log, node_tables, relay_frame, request,
@@ -373,8 +372,6 @@
                     return RelayOutcome::NotRun("the host is stopping".to_owned());
                 }
                 relay_frame::RelayReply::Behind => {
-                    let host = self.host.as_deref().unwrap_or_default();
-                    config_spread::offer_or_log(tables, host).await;
                     return RelayOutcome::NotRun("the host has an older configuration".to_owned());
                 }
                 relay_frame::RelayReply::Answer(answer) => return RelayOutcome::Answered(answer),
--- a/src/node/relay_caller.rs
+++ b/src/node/relay_caller.rs
@@ -10,7 +10,7 @@
 use crate::link::{link_error, server, stream_kind};
 use crate::node::admission::{admission_limits, caller_account};
 use crate::node::rate_limits::{bucket_holder, place_check};
-use crate::node::tables::{config_spread, table_server};
+use crate::node::tables::table_server;
 use crate::node::workspaces::{caller_hello, workspace_binding};
 use crate::node::{
     answers, edge, isolation, node_log, node_tables, notices, peer_list, relay_frame, request,
@@ -49,9 +49,6 @@
             stream_kind::StreamKind::Follow => {
                 tokio::task::spawn_local(table_server::serve(rc::Rc::clone(&tables), stream));
             }
-            stream_kind::StreamKind::Config => {
-                tokio::task::spawn_local(config_spread::serve(rc::Rc::clone(&tables), stream));
-            }
             stream_kind::StreamKind::Limits => {
                 tokio::task::spawn_local(bucket_holder::serve(rc::Rc::clone(&tables), stream));
             }
--- a/src/node/table_follower.rs
+++ b/src/node/table_follower.rs
@@ -8,13 +8,12 @@
 use crate::model::ids;
 use crate::node::rate_limits::{limit_task, place_check};
 use crate::node::tables::{
-    config_spread, store_failure, store_question, table_origin, table_source, table_updates,
+    store_failure, store_question, table_origin, table_source, table_updates,
 };
 use crate::node::{edge, era_revision, limits, node_log, node_tables, watch_schedule};
 
 /// Keeps the tables up to date with the store as long as the node runs.
 pub async fn follow_store<E: edge::NodeEdge>(tables: rc::Rc<node_tables::NodeTables<E>>) {
-    tokio::task::spawn_local(config_spread::run(rc::Rc::clone(&tables)));
     tokio::task::spawn_local(limit_task::run(rc::Rc::clone(&tables)));
     tokio::task::spawn_local(place_check::run(rc::Rc::clone(&tables)));
     let mut follower = TableFollower {
--- a/src/node/tables/mod.rs
+++ b/src/node/tables/mod.rs
@@ -1,7 +1,6 @@
 //! The tables from the store, passed on between VMs: a few followers in each data centre watch the
 //! store, and the other VMs ask them. See `docs/design/tables.md`.
 
-pub mod config_spread;
 pub mod store_failure;
 pub mod store_image;
 pub mod store_question;
--- a/src/node/tables/table_server.rs
+++ b/src/node/tables/table_server.rs
@@ -70,7 +70,7 @@
         .began_at()
         .map(|began_at| now.saturating_sub(began_at))
         .filter(|age| *age <= max_age(tables));
-    let newer = tables.newer_config(query.config);
+    let newer = newer_config(tables, query);
     let Some(age) = age.filter(|_| tables.store_available.get()) else {
         return Some(table_frame::TableReply::Unavailable(newer.map(Box::new)));
     };
@@ -100,6 +100,18 @@
     (due || !changes.is_empty()).then(|| table_frame::TableReply::Changes(report(changes)))
 }
 
+/// Returns the configuration in force if it is newer than the one of the query.
+fn newer_config<E: edge::NodeEdge>(
+    tables: &node_tables::NodeTables<E>,
+    query: table_frame::TableQuery,
+) -> Option<table_frame::ConfigReport> {
+    let config = tables.config()?;
+    (config.version > query.config).then(|| table_frame::ConfigReport {
+        config: (*config).clone(),
+        hops: tables.config_origin.borrow().hops.saturating_add(1),
+    })
+}
+
 /// Age of the tables beyond which this VM passes none on: they are overdue here, so they would be at the
 /// other VM.
 fn max_age<E: edge::NodeEdge>(tables: &node_tables::NodeTables<E>) -> time::Duration {
--- a/src/node/tables/table_source.rs
+++ b/src/node/tables/table_source.rs
@@ -10,7 +10,7 @@
 use crate::link::{frame_reader, frame_writer, stream_kind};
 use crate::model::ids;
 use crate::node::tables::{table_frame, table_origin};
-use crate::node::{edge, limits, node_log, node_tables, peers};
+use crate::node::{edge, limits, node_log, node_tables};
 
 /// Where the next changes come from.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -213,13 +213,8 @@
     }
 
     async fn open(&self, follower: &str) -> Result<FollowerStream, String> {
-        let purpose = peers::LinkPurpose::Tables;
-        let link = self
-            .tables
-            .peers
-            .connect_for(&self.tables, follower, purpose);
-        let (writer, reader) = link
-            .await?
+        let client = self.tables.peers.connect(&self.tables, follower).await?;
+        let (writer, reader) = client
             .open(stream_kind::StreamKind::Follow)
             .await
             .map_err(|error| error.to_string())?;
--- a/src/pool/daemon.rs
+++ b/src/pool/daemon.rs
@@ -76,7 +76,6 @@
         | stream_kind::StreamKind::Lead
         | stream_kind::StreamKind::Group
         | stream_kind::StreamKind::Follow
-        | stream_kind::StreamKind::Config
         | stream_kind::StreamKind::Limits
         | stream_kind::StreamKind::Place => {
             stream.writer.abort();
