--- a/src/node/table_follower.rs
+++ b/src/node/table_follower.rs
@@ -76,7 +76,9 @@
 enum FollowStep {
     /// It asks another VM.
     Ask(ids::VmId),
-    /// It asks no other VM until this time.
+    /// It has an answer, and asks no other VM until this time.
+    Pause(Instant),
+    /// No other VM answers, and it asks none until this time.
     Wait(Instant),
 }
 
@@ -229,7 +231,7 @@
             table_source::SourceChoice::Follower(vm) => FollowStep::Ask(vm),
         };
         let paused_until = self.paused_until.filter(|until| now < *until);
-        Some((paused_until.map_or(step, FollowStep::Wait), due))
+        Some((paused_until.map_or(step, FollowStep::Pause), due))
     }
 
     /// Returns from when on the store may be asked again, if it has just failed to answer.
@@ -298,7 +300,7 @@
         let longest = self.schedule().follower_wait();
         let wait = self.waiting_times().wait.min(longest);
         let refresh_pause = match step {
-            FollowStep::Ask(_) => retry_interval,
+            FollowStep::Ask(_) | FollowStep::Pause(_) => retry_interval,
             FollowStep::Wait(_) => limits::STORE_PAUSE,
         };
         let mut refresh_from = self.store_asked.map(|asked| asked + refresh_pause);
@@ -306,7 +308,7 @@
         let work = async {
             match step {
                 FollowStep::Ask(vm) => Some(source.ask(vm, base, wait).await),
-                FollowStep::Wait(until) => {
+                FollowStep::Pause(until) | FollowStep::Wait(until) => {
                     tokio::time::sleep_until(*until).await;
                     None
                 }
