Take back that one of few VMs asks others while the store turns it away

Cause: tables from others count as contact for a holder of a rate limit, so that it granted on beside the VM that has taken its place.

--- a/src/node/node_tables.rs
+++ b/src/node/node_tables.rs
@@ -585,12 +585,12 @@
     /// Returns the VMs that this VM may ask for tables, in the order in which it asks them.
     #[must_use]
     pub fn table_followers(&self) -> Vec<ids::VmId> {
-        let mut order = Vec::new();
-        if self.uses_followers() {
-            let members = self.members_with_self();
-            order =
-                table_source::order_all_followers(&self.vm, &self.own_entry.data_centre, &members);
+        if !self.uses_followers() {
+            return Vec::new();
         }
+        let members = self.members_with_self();
+        let mut order =
+            table_source::order_all_followers(&self.vm, &self.own_entry.data_centre, &members);
         if !self.store_available.get() {
             order.extend(self.rank_others(&order));
         }
