Drop the retry interval of few VMs from the table follower

Since it was taken back that one of few VMs asks others, only VMs that use followers get there, and the other branches were dead. No logic is changed.

--- a/src/node/table_follower.rs
+++ b/src/node/table_follower.rs
@@ -237,28 +237,15 @@
     /// Returns from when on the store may be asked again, if it has just failed to answer.
     fn store_retry_at(&self) -> Option<Instant> {
         let asked = self.store_asked?;
-        Some(asked + self.store_retry_interval())
-    }
-
-    fn store_retry_interval(&self) -> time::Duration {
-        if self.tables.uses_followers() {
-            limits::STORE_RETRY_INTERVAL
-        } else {
-            limits::STORE_PAUSE
-        }
+        Some(asked + limits::STORE_RETRY_INTERVAL)
     }
 
     /// Returns when the store itself has to be asked, unless another VM passes on newer tables before. Their
     /// age counts from the call to the store on which they rest, not from the answer of that VM. See
     /// `docs/design/tables.md`, "How old the tables may be".
     fn store_due(&self) -> Instant {
-        let now = Instant::now();
-        let due = if self.tables.uses_followers() {
-            let age = self.tables.config_age();
-            now + self.schedule().question_age().saturating_sub(age)
-        } else {
-            now
-        };
+        let age = self.tables.config_age();
+        let due = Instant::now() + self.schedule().question_age().saturating_sub(age);
         self.store_retry_at()
             .map_or(due, |retry_at| retry_at.max(due))
     }
@@ -296,11 +283,10 @@
     ) -> Result<FollowedAnswer, FollowOutcome> {
         let tables = rc::Rc::clone(&self.tables);
         let times = self.schedule().question();
-        let retry_interval = self.store_retry_interval();
         let longest = self.schedule().follower_wait();
         let wait = self.waiting_times().wait.min(longest);
         let refresh_pause = match step {
-            FollowStep::Ask(_) | FollowStep::Pause(_) => retry_interval,
+            FollowStep::Ask(_) | FollowStep::Pause(_) => limits::STORE_RETRY_INTERVAL,
             FollowStep::Wait(_) => limits::STORE_PAUSE,
         };
         let mut refresh_from = self.store_asked.map(|asked| asked + refresh_pause);
@@ -348,7 +334,7 @@
             if matches!(step, FollowStep::Wait(_)) {
                 return Err(FollowOutcome::Continue);
             }
-            store_due = answered.sent_at + retry_interval;
+            store_due = answered.sent_at + limits::STORE_RETRY_INTERVAL;
             refresh_from = Some(store_due);
         }
     }
