--- a/tests/node_configuration_age.rs
+++ b/tests/node_configuration_age.rs
@@ -42,30 +42,6 @@
     }
 }
 
-async fn start_all(edge: &ClusterEdge) -> Vec<support::TestNode> {
-    let nodes: Vec<_> = (1..=VMS)
-        .map(|number| support::start(edge, number, "dc-a"))
-        .collect();
-    for node in &nodes {
-        node.tables.set_bounds(APPLY_LIMIT, limits::DRAIN_LIMIT);
-    }
-    for node in &nodes {
-        node.wait_until("all members and the list are known", |node| {
-            node.tables.members().len() == usize::from(VMS) && node.tables.has_complete_list()
-        })
-        .await;
-    }
-    nodes
-}
-
-/// Returns a VM that gets its tables from followers.
-fn first_reader(nodes: &[support::TestNode]) -> &support::TestNode {
-    nodes
-        .iter()
-        .find(|node| !node.tables.is_table_follower())
-        .expect("a reader")
-}
-
 /// Returns how long it takes until a version is in force on all of `nodes`, or `None` if that takes
 /// longer than the bound.
 async fn time_until_in_force(
@@ -89,8 +65,8 @@
     for offset_ms in (0..2_000).step_by(250) {
         support::block_on(async {
             let edge = support::cluster(22);
-            let nodes = start_all(&edge).await;
-            let reader = first_reader(&nodes);
+            let nodes = support::start_all(&edge, VMS, &["dc-a"], APPLY_LIMIT).await;
+            let reader = support::first_reader(&nodes);
             let asked = reader.tables.table_followers();
             reader.sleep(Duration::from_millis(offset_ms)).await;
             edge.network.cuts.cut(&asked[0], &CutTarget::Store);
@@ -116,8 +92,8 @@
 fn a_vm_whose_followers_are_turned_away_too_gets_the_configuration_from_others() {
     support::block_on(async {
         let edge = support::cluster(22);
-        let nodes = start_all(&edge).await;
-        let reader = first_reader(&nodes);
+        let nodes = support::start_all(&edge, VMS, &["dc-a"], APPLY_LIMIT).await;
+        let reader = support::first_reader(&nodes);
         turn_away(&edge, reader).await;
         publish(&edge, 6);
         let all: Vec<_> = nodes.iter().collect();
@@ -137,8 +113,8 @@
 fn a_vm_whose_followers_are_turned_away_too_learns_that_an_upstream_leaves() {
     support::block_on(async {
         let edge = support::cluster(22);
-        let nodes = start_all(&edge).await;
-        let reader = first_reader(&nodes);
+        let nodes = support::start_all(&edge, VMS, &["dc-a"], APPLY_LIMIT).await;
+        let reader = support::first_reader(&nodes);
         turn_away(&edge, reader).await;
         edge.change(|state| state.change_entry("b", |entry| entry.leaving = true));
         reader.sleep(APPLY_LIMIT).await;
@@ -153,7 +129,7 @@
 fn a_vm_gets_the_configuration_from_vms_whose_entries_had_vanished() {
     support::block_on(async {
         let edge = support::cluster(22);
-        let nodes = start_all(&edge).await;
+        let nodes = support::start_all(&edge, VMS, &["dc-a"], APPLY_LIMIT).await;
         let (first, second) = nodes.split_at(usize::from(VMS) / 3);
         for node in first {
             edge.network.cuts.cut(&node.tables.vm, &CutTarget::Store);
@@ -184,7 +160,7 @@
 fn a_configuration_reaches_all_vms_when_the_store_serves_one() {
     support::block_on(async {
         let edge = support::cluster(22);
-        let nodes = start_all(&edge).await;
+        let nodes = support::start_all(&edge, VMS, &["dc-a"], APPLY_LIMIT).await;
         for node in &nodes[1..] {
             edge.network.cuts.cut(&node.tables.vm, &CutTarget::Store);
         }
--- a/tests/node_configuration_ways.rs
+++ b/tests/node_configuration_ways.rs
@@ -52,32 +52,6 @@
     pool.is_some_and(|pool| pool.entry().leaving)
 }
 
-async fn start_all(edge: &ClusterEdge, vms: u16) -> Vec<support::TestNode> {
-    let places = DATA_CENTRES.iter().cycle();
-    let nodes: Vec<_> = (1..=vms)
-        .zip(places)
-        .map(|(number, place)| support::start(edge, number, place))
-        .collect();
-    for node in &nodes {
-        node.tables.set_bounds(APPLY_LIMIT, limits::DRAIN_LIMIT);
-    }
-    for node in &nodes {
-        node.wait_until("all members and the list are known", |node| {
-            node.tables.members().len() == usize::from(vms) && node.tables.has_complete_list()
-        })
-        .await;
-    }
-    nodes
-}
-
-/// Returns a VM that gets its tables from followers.
-fn first_reader(nodes: &[support::TestNode]) -> &support::TestNode {
-    nodes
-        .iter()
-        .find(|node| !node.tables.is_table_follower())
-        .expect("a reader")
-}
-
 /// Returns whether a condition holds within the bound for configurations.
 async fn holds_in_time(condition: impl Fn() -> bool) -> bool {
     let began = tokio::time::Instant::now();
@@ -96,8 +70,8 @@
 fn a_vm_that_the_store_does_not_answer_gets_past_vms_that_hang() {
     support::block_on(async {
         let edge = support::cluster(22);
-        let nodes = start_all(&edge, VMS).await;
-        let reader = first_reader(&nodes);
+        let nodes = support::start_all(&edge, VMS, &DATA_CENTRES, APPLY_LIMIT).await;
+        let reader = support::first_reader(&nodes);
         edge.network.cuts.cut(&reader.tables.vm, &CutTarget::Store);
         reader
             .wait_until("the VM notices it", |node| {
@@ -123,8 +97,8 @@
     for offset_ms in (0..2_000).step_by(250) {
         support::block_on(async {
             let edge = support::cluster(22);
-            let nodes = start_all(&edge, VMS).await;
-            let reader = first_reader(&nodes);
+            let nodes = support::start_all(&edge, VMS, &DATA_CENTRES, APPLY_LIMIT).await;
+            let reader = support::first_reader(&nodes);
             reader.sleep(Duration::from_millis(offset_ms)).await;
             for node in &nodes {
                 if node.tables.vm != reader.tables.vm {
@@ -148,8 +122,8 @@
 fn a_configuration_is_passed_on_to_a_vm_whose_questions_hang() {
     support::block_on(async {
         let edge = support::cluster(22);
-        let nodes = start_all(&edge, VMS).await;
-        let reader = first_reader(&nodes);
+        let nodes = support::start_all(&edge, VMS, &DATA_CENTRES, APPLY_LIMIT).await;
+        let reader = support::first_reader(&nodes);
         edge.network.cuts.cut(&reader.tables.vm, &CutTarget::Store);
         for node in &nodes {
             if node.tables.is_table_follower() {
@@ -167,7 +141,7 @@
 fn one_of_few_vms_that_the_store_turns_away_gets_tables_from_the_others() {
     support::block_on(async {
         let edge = support::cluster(22);
-        let nodes = start_all(&edge, FEW_VMS).await;
+        let nodes = support::start_all(&edge, FEW_VMS, &DATA_CENTRES, APPLY_LIMIT).await;
         edge.network
             .cuts
             .cut(&nodes[0].tables.vm, &CutTarget::Store);
@@ -185,7 +159,7 @@
 fn a_vm_whose_listing_fails_gets_tables_from_others() {
     support::block_on(async {
         let edge = support::cluster(22);
-        let nodes = start_all(&edge, VMS).await;
+        let nodes = support::start_all(&edge, VMS, &DATA_CENTRES, APPLY_LIMIT).await;
         let follower = nodes
             .iter()
             .find(|node| node.tables.is_table_follower())
@@ -207,7 +181,7 @@
 fn a_host_that_is_behind_does_not_refuse_a_database_that_is_back() {
     support::block_on(async {
         let edge = support::cluster(ONE_HOST);
-        let nodes = start_all(&edge, FEW_VMS).await;
+        let nodes = support::start_all(&edge, FEW_VMS, &DATA_CENTRES, APPLY_LIMIT).await;
         let is_host = |node: &&support::TestNode| node.tables.is_host(cluster_state::GROUP);
         let host = nodes.iter().find(is_host).expect("a host");
         let entry = nodes.iter().find(|node| !is_host(node)).expect("no host");
--- a/tests/node_support/mod.rs
+++ b/tests/node_support/mod.rs
@@ -13,8 +13,8 @@
 use bytes::Bytes;
 use persimmontack::node::workspaces::{caller_hello, key_check, workspace_binding};
 use persimmontack::node::{
-    answers, config, isolation, member, membership, node_tables, relay_caller, request, session,
-    session_start, stop, table_follower,
+    answers, config, isolation, limits, member, membership, node_tables, relay_caller, request,
+    session, session_start, stop, table_follower,
 };
 use standins::cluster::{cluster_edge, cluster_state, instance_state, test_caller};
 
@@ -139,6 +139,38 @@
     node
 }
 
+/// Starts VMs, in turn in each of the data centres, and waits until all know each other and the whole list. A
+/// configuration has to be in force within `apply_limit`.
+pub async fn start_all(
+    edge: &cluster_edge::ClusterEdge,
+    vms: u16,
+    data_centres: &[&str],
+    apply_limit: Duration,
+) -> Vec<TestNode> {
+    let nodes: Vec<_> = (1..=vms)
+        .zip(data_centres.iter().cycle())
+        .map(|(number, data_centre)| start(edge, number, data_centre))
+        .collect();
+    for node in &nodes {
+        node.tables.set_bounds(apply_limit, limits::DRAIN_LIMIT);
+    }
+    for node in &nodes {
+        node.wait_until("all members and the list are known", |node| {
+            node.tables.members().len() == usize::from(vms) && node.tables.has_complete_list()
+        })
+        .await;
+    }
+    nodes
+}
+
+/// Returns a VM that gets its tables from followers.
+pub fn first_reader(nodes: &[TestNode]) -> &TestNode {
+    nodes
+        .iter()
+        .find(|node| !node.tables.is_table_follower())
+        .expect("a reader")
+}
+
 /// Opens a session at a VM.
 pub fn open(
     tables: &Rc<node_tables::NodeTables<cluster_edge::ClusterEdge>>,
